--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,6 +19,7 @@
 import psutil
 
 from bench.fleet import Fleet, Instance, Process, wait_for
+from hibiscuspin.clock import monotonic
 
 DATA_CENTRE_SIZE = 41
 LEAST_DATA_CENTRES = 3
@@ -78,9 +79,9 @@
 def _idle_cost(fleet: Fleet) -> dict[str, Any]:
     before = [_usage(fleet, instance) for instance in fleet.instances]
     calls = fleet.get("store", "/calls")
-    start = time.monotonic()
+    start = monotonic()
     time.sleep(SAMPLE_S)
-    elapsed = time.monotonic() - start
+    elapsed = monotonic() - start
     calls_after = fleet.get("store", "/calls")
     after = [_usage(fleet, instance) for instance in fleet.instances]
     pairs = list(zip(before, after, strict=True))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.config import Config, load_folder
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpAnswer, HttpClient
@@ -65,10 +66,10 @@
     Raises:
         TimeoutError: It did not hold in time.
     """
-    start = time.monotonic()
-    while time.monotonic() - start < timeout_s:
+    start = monotonic()
+    while monotonic() - start < timeout_s:
         if condition():
-            return time.monotonic() - start
+            return monotonic() - start
         time.sleep(POLL_S)
     raise TimeoutError(f"{what} did not happen within {timeout_s} s")
 
@@ -378,7 +379,7 @@
     if body is not None:
         data = json.dumps(body).encode()
         sent["Content-Type"] = "application/json"
-    deadline = time.monotonic() + timeout_s
+    deadline = monotonic() + timeout_s
     return client.request(method, path, deadline, body=data, headers=sent)
 
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -17,6 +17,7 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.fleet import Instance
+from hibiscuspin.clock import monotonic
 from standins.tokens import expected_tokens
 
 __all__ = ["Load", "Result", "run"]
@@ -103,8 +104,8 @@
     ]
     for thread in threads:
         thread.start()
-    for job in _drawn(load, time.monotonic() + 0.2):
-        time.sleep(max(0.0, job.due - time.monotonic()))
+    for job in _drawn(load, monotonic() + 0.2):
+        time.sleep(max(0.0, job.due - monotonic()))
         jobs.put(job)
     for _ in threads:
         jobs.put(None)
@@ -143,7 +144,7 @@
             connection.close()
             code = "no_answer"
         if job.counted:
-            outcomes.append(_Outcome(code, time.monotonic() - job.due))
+            outcomes.append(_Outcome(code, monotonic() - job.due))
     connection.close()
 
 
--- a/bench/once.py
+++ b/bench/once.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from bench.fleet import Fleet, request
+from hibiscuspin.clock import monotonic
 from hibiscuspin.config import Config
 from hibiscuspin.edges import TargetError
 
@@ -215,10 +216,10 @@
 ) -> list[Reply]:
     first, second = DATA_CENTRES
     futures = []
-    started = time.monotonic()
+    started = monotonic()
     with ThreadPoolExecutor(SENDERS) as executor:
         for number in range(keys):
-            pause_s = started + number / rate - time.monotonic()
+            pause_s = started + number / rate - monotonic()
             time.sleep(max(0.0, pause_s))
             numbers = [draw.randrange(INSTANCES_EACH) for _ in DATA_CENTRES]
             gap_s = draw.choice([0.0, draw.uniform(0.0, MOST_GAP_S)])
--- a/bench/own_cost.py
+++ b/bench/own_cost.py
@@ -17,6 +17,7 @@
 
 from bench.fleet import Fleet
 from bench.load import MODEL, TOKEN
+from hibiscuspin.clock import monotonic
 from hibiscuspin.settings import Address
 
 SEED = 20240302
@@ -131,8 +132,8 @@
         host, port = way.address
         connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
         seen = [0, 0, 0]
-        end = time.monotonic() + RATE_S
-        while time.monotonic() < end:
+        end = monotonic() + RATE_S
+        while monotonic() < end:
             key = (driver * CALLERS_EACH + number) * 1_000_000 + seen[0]
             tokens = ask(connection, way, key)
             seen[0] += 1
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from bench.fleet import Fleet, Instance, request
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from standins.tokens import expected_tokens
 
@@ -109,10 +110,10 @@
     shown = fleet.admin(fleet.instances[0], "GET", "config")
     config = shown["config"]
     config["models_by_name"][MODEL]["max_tokens"] = 1024
-    start = time.monotonic()
+    start = monotonic()
     revision = fleet.apply(config, shown["revision"])
     fleet.wait_configured(revision, 7.0)
-    took_s = time.monotonic() - start
+    took_s = monotonic() - start
     return Row("a change in force everywhere", took_s < 7, f"{took_s:.2f} s")
 
 
@@ -122,8 +123,8 @@
     outcomes: Counter[str] = Counter()
 
     def drive() -> None:
-        end = time.monotonic() + LOAD_S
-        while time.monotonic() < end:
+        end = monotonic() + LOAD_S
+        while monotonic() < end:
             outcome = _ask(leaving, f"load {sum(outcomes.values())}")
             outcomes[outcome] += 1
             if outcome == "refused":  # as the platform's balancer would
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -1,11 +1,12 @@
 """Steps on the callers' interface."""
 
 import json
-import time
 from typing import Any
 
 from behave import then, when
 
+from hibiscuspin.clock import monotonic
+
 
 @when(
     'a caller sends {method} {path} with token "{token}", '
@@ -22,7 +23,7 @@
         headers[name] = value
     client = context.fleet.instances[0].caller
     context.answer = client.request(
-        method, path, time.monotonic() + 10, body=body.encode(), headers=headers
+        method, path, monotonic() + 10, body=body.encode(), headers=headers
     )
 
 
--- a/features/steps/interfaces_steps.py
+++ b/features/steps/interfaces_steps.py
@@ -3,13 +3,13 @@
 import json
 import pathlib
 import socket
-import time
 from typing import Any
 
 import parse
 from behave import given, register_type, then, when
 
 from bench.fleet import request, wait_for
+from hibiscuspin.clock import monotonic
 
 MEGABYTE = 1024 * 1024
 
@@ -29,7 +29,7 @@
     if token:
         headers["Authorization"] = f"Bearer {token}"
     client = getattr(context.fleet.instances[0], kind)
-    deadline = time.monotonic() + 10
+    deadline = monotonic() + 10
     context.answer = client.request(
         method, path, deadline, body=body.encode() or None, headers=headers
     )
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -7,13 +7,13 @@
 import socket
 import tempfile
 import threading
-import time
 from typing import Any
 from unittest import mock
 
 from behave import given, then, when
 
 from bench.fleet import free_address, wait_for
+from hibiscuspin.clock import monotonic
 from hibiscuspin.daemon import Daemon
 from hibiscuspin.edges.channel import Channel
 from hibiscuspin.edges.wsgi import WsgiApp
@@ -71,12 +71,12 @@
 
 @when('a client sends "{start}" and then a byte every {period:g} s')
 def trickle(context: Any, start: str, period: float) -> None:
-    context.started = time.monotonic()
+    context.started = monotonic()
     raw = socket.create_connection(context.address, timeout=period)
     with raw:
         raw.sendall(start.replace("\\r\\n", "\r\n").encode())
         context.raw_answer = b""
-        while time.monotonic() - context.started < 10:
+        while monotonic() - context.started < 10:
             with contextlib.suppress(TimeoutError):
                 part = raw.recv(65536)
                 context.raw_answer += part
@@ -92,7 +92,7 @@
     head, _, body = context.raw_answer.partition(b"\r\n\r\n")
     seen = int(head.split()[1]), json.loads(body)["error"]["code"]
     assert seen == (status, code), seen
-    assert time.monotonic() - context.started < most
+    assert monotonic() - context.started < most
 
 
 @when('a client sends "{start}" and then nothing')
--- a/features/steps/live_services_steps.py
+++ b/features/steps/live_services_steps.py
@@ -1,7 +1,6 @@
 """Steps on plain services under faults, and on answers kept apart."""
 
 import json
-import time
 from typing import Any
 
 from behave import given, then, when
@@ -13,6 +12,7 @@
     StreamingCaller,
     records_by_engine,
 )
+from hibiscuspin.clock import monotonic
 from standins.tokens import expected_tokens
 
 FAULTS_BY_NAME: dict[str, dict[str, object]] = {
@@ -35,7 +35,7 @@
 def ask_quotes(context: Any) -> None:
     context.quotes = []
     for number in range(6):
-        start = time.monotonic()
+        start = monotonic()
         answer = request(
             context.fleet.instances[0].caller,
             "POST",
@@ -43,7 +43,7 @@
             {"console": number},
             token=TOKEN,
         )
-        took_s = time.monotonic() - start
+        took_s = monotonic() - start
         context.quotes.append((number, took_s, answer))
 
 
@@ -81,7 +81,7 @@
 
 @when("a caller asks for 2000 tokens within 30 ms")
 def ask_late(context: Any) -> None:
-    start = time.monotonic()
+    start = monotonic()
     context.answer = request(
         context.fleet.instances[0].caller,
         "POST",
@@ -90,7 +90,7 @@
         token=TOKEN,
         headers={"X-Deadline-Ms": "30", "X-Request-Id": "late"},
     )
-    context.took_s = time.monotonic() - start
+    context.took_s = monotonic() - start
 
 
 @then('it is refused within {seconds:g} s as "{code}", to come back')
--- a/features/steps/live_streams_steps.py
+++ b/features/steps/live_streams_steps.py
@@ -5,13 +5,13 @@
 import json
 import socket
 import threading
-import time
 from collections.abc import Iterator
 from typing import Any
 
 from behave import given, then, when
 
 from bench.fleet import wait_for
+from hibiscuspin.clock import monotonic
 from standins.tokens import expected_tokens
 
 MODEL = "tasador-lm"
@@ -133,12 +133,12 @@
 
 @then("its answer is whole and its own within {seconds:d} s")
 def check_whole(context: Any, seconds: int) -> None:
-    start = time.monotonic()
+    start = monotonic()
     ended = context.stream.join(seconds)
     seen = (ended, context.stream.ended, context.stream.tokens)
     assert ended and context.stream.ended, seen
     assert context.stream.text == context.expected, seen
-    context.took_s = time.monotonic() - start
+    context.took_s = monotonic() - start
 
 
 @then("at most {attempts:d} attempts reached engines")
--- a/features/steps/matrix_fakes.py
+++ b/features/steps/matrix_fakes.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import (
     Entry,
     ServiceAnswer,
@@ -31,7 +32,7 @@
 
     def monotonic(self) -> float:
         """Returns the shifted monotonic clock."""
-        return time.monotonic() * self._speed + self.shift_s
+        return monotonic() * self._speed + self.shift_s
 
     def wall(self) -> float:
         """Returns the shifted wall clock."""
--- a/features/steps/reports_steps.py
+++ b/features/steps/reports_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from bench.fleet import request, wait_for
+from hibiscuspin.clock import monotonic
 
 TOKEN_S = 0.005
 STEP = "/v1/trainers/appraiser/steps/501"
@@ -70,18 +71,18 @@
     token = "appraisal-token"
     prompt = {"id": "a", "prompt": "a", "samples": samples, "max_tokens": 16}
     body = {"prompts": [prompt], "final": True}
-    deadline = time.monotonic() + 30
-    while time.monotonic() < deadline:
+    deadline = monotonic() + 30
+    while monotonic() < deadline:
         path = f"{STEP}/prompts"
         if request(client, "POST", path, body, token=token).status == 202:
             break
         time.sleep(0.2)
     after, complete = 0, False
-    while not complete and time.monotonic() < deadline:
-        started = time.monotonic()
+    while not complete and monotonic() < deadline:
+        started = monotonic()
         path = f"{STEP}/samples?after={after}&wait_ms=1000"
         answer = request(client, "GET", path, token=token)
-        context.fleet.waited_s += time.monotonic() - started
+        context.fleet.waited_s += monotonic() - started
         assert answer.status == 200, answer.body
         pulled = json.loads(answer.body)
         after, complete = pulled["cursor"], pulled["complete"]
--- a/features/steps/rollouts_fleet_steps.py
+++ b/features/steps/rollouts_fleet_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from bench.fleet import request
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 
 TOKEN = "appraisal-token"
@@ -18,8 +19,8 @@
 
 def _call(context: Any, method: str, path: str, body: object = None) -> Any:
     """Asks the instances in turn until one answers with success."""
-    end = time.monotonic() + TAKE_OVER_TIMEOUT_S
-    while time.monotonic() < end:
+    end = monotonic() + TAKE_OVER_TIMEOUT_S
+    while monotonic() < end:
         for instance in context.fleet.instances:
             try:
                 answer = request(
--- a/features/steps/shared_peers_steps.py
+++ b/features/steps/shared_peers_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from bench.fleet import free_address, wait_for
+from hibiscuspin.clock import monotonic
 from hibiscuspin.peers.hub import PeerError, PeerHub, PeerRecord
 
 WAIT_S = 20.0
@@ -119,7 +120,7 @@
 def _call(
     context: Any, hub: PeerHub, method: str, instance: str, timeout: float
 ) -> None:
-    deadline = time.monotonic() + timeout
+    deadline = monotonic() + timeout
     try:
         body = hub.call(instance, method, b"echoed", deadline)
         context.peer_result = body.decode()
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -16,6 +16,7 @@
     runs_of,
     send_offer,
 )
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpClient
 
@@ -94,10 +95,10 @@
 @when('"{name}" is stopped as planned after {seconds:g} s')
 def stop_instance(context: Any, name: str, seconds: float) -> None:
     time.sleep(seconds)
-    started = time.monotonic()
+    started = monotonic()
     process = instance_of(context.fleet, name).process
     context.exit_code = process.stop()
-    context.stop_s = time.monotonic() - started
+    context.stop_s = monotonic() - started
 
 
 @then("it ends with exit code {code:d} within {seconds:d} s")
--- a/hibiscuspin/clock.py
+++ b/hibiscuspin/clock.py
@@ -3,14 +3,23 @@
 import time
 from typing import Protocol
 
-__all__ = ["Clock", "SystemClock"]
+__all__ = ["Clock", "SystemClock", "monotonic"]
+
+
+def monotonic() -> float:
+    """Returns seconds on a clock that never goes back.
+
+    Unlike `time.monotonic` it counts the time in which the machine was
+    suspended, so that a lease does not outlive a pause.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Clock(Protocol):
     """A source of time."""
 
     def monotonic(self) -> float:
-        """Returns seconds on a clock that never goes back."""
+        """Returns seconds on a clock that never goes back or stands still."""
 
     def wall(self) -> float:
         """Returns seconds since the epoch, for logs and records."""
@@ -20,8 +29,8 @@
     """The clock of this machine."""
 
     def monotonic(self) -> float:
-        """Returns seconds on a clock that never goes back."""
-        return time.monotonic()
+        """Returns seconds on a clock that never goes back or stands still."""
+        return monotonic()
 
     def wall(self) -> float:
         """Returns seconds since the epoch, for logs and records."""
--- a/hibiscuspin/commands/client.py
+++ b/hibiscuspin/commands/client.py
@@ -3,9 +3,9 @@
 import json
 import os
 import pathlib
-import time
 from typing import Any
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.commands.outcome import CommandError
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpClient
@@ -61,7 +61,7 @@
             CommandError: It gave no answer.
         """
         data = None if body is None else json.dumps(body).encode()
-        deadline = time.monotonic() + CALL_TIMEOUT_S
+        deadline = monotonic() + CALL_TIMEOUT_S
         try:
             answer = self._client.request(
                 method,
--- a/hibiscuspin/commands/config.py
+++ b/hibiscuspin/commands/config.py
@@ -7,6 +7,7 @@
 import time
 from typing import Any
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.commands.client import AdminClient, RefusedError
 from hibiscuspin.commands.outcome import (
     EXIT_LAGGING,
@@ -126,10 +127,10 @@
 
 
 def _wait(client: AdminClient, revision: int, as_json: bool) -> Outcome:
-    deadline = time.monotonic() + WAIT_TIMEOUT_S
+    deadline = monotonic() + WAIT_TIMEOUT_S
     while True:
         status = _status(client, revision, as_json)
-        if not status.code or time.monotonic() >= deadline:
+        if not status.code or monotonic() >= deadline:
             return status
         time.sleep(POLL_S)
 
--- a/hibiscuspin/edges/__init__.py
+++ b/hibiscuspin/edges/__init__.py
@@ -141,6 +141,7 @@
         refused: Whether the target itself said that it did not run it.
         silent: Whether the connection stalled without an answer.
         draining: Whether the target refused because it is leaving.
+        status: The status of its answer, 0 without one.
     """
 
     def __init__(
@@ -151,8 +152,10 @@
         refused: bool = False,
         silent: bool = False,
         draining: bool = False,
+        status: int = 0,
     ) -> None:
         super().__init__(message)
+        self.status = status
         self.sent = sent
         self.refused = refused
         self.silent = silent
--- a/hibiscuspin/edges/channel.py
+++ b/hibiscuspin/edges/channel.py
@@ -5,13 +5,13 @@
 that slow senders don't hold connections.
 """
 
-import time
 from typing import Any
 
 from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask
 from waitress.utilities import Error
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges.wsgi import error_response
 from hibiscuspin.errors import ErrorKind, HibiscusError
 
@@ -59,9 +59,13 @@
 
     def received(self, data: bytes) -> Any:
         """Takes bytes of a request; refuses it after its deadline."""
-        now = time.monotonic()
+        now = monotonic()
         if self.request is None:
-            self.receive_deadline = now + self.receive_timeout_s
+            server: Any = self.server
+            timeout_s = getattr(
+                server, "receive_timeout_s", self.receive_timeout_s
+            )
+            self.receive_deadline = now + timeout_s
         elif now >= self.receive_deadline:
             self._refuse()
             return False
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import http.client
+import re
 import select
 import socket
 import threading
@@ -15,7 +16,7 @@
 import msgspec
 
 from hibiscuspin.clock import Clock, SystemClock
-from hibiscuspin.edges import TargetError
+from hibiscuspin.edges import TargetError, Wait
 from hibiscuspin.settings import Address
 
 __all__ = ["HttpAnswer", "HttpClient", "HttpStream", "says_draining"]
@@ -28,6 +29,13 @@
 MAX_LINES = 512
 READ_BYTES = 64 * 1024
 CHECK_PERIOD_S = 0.1
+# The other end's clock starts when it sends, this one when it has read.
+IDLE_USE_SHARE = 0.8
+# Two lost probes end a connection whose other end has gone silent.
+PROBE_IDLE_S = 1
+PROBE_PERIOD_S = 1
+PROBE_COUNT = 2
+_IDLE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
 class HttpAnswer(NamedTuple):
@@ -50,6 +58,7 @@
 class _Connection(NamedTuple):
     raw: http.client.HTTPConnection
     retire_at: float
+    idle_until: float
 
 
 class HttpStream:
@@ -90,8 +99,7 @@
                 self._client.wait(
                     self._connection, self._response, deadline, stall_s, check
                 )
-                # One read gives one chunk of the transfer encoding at most.
-                data = self._response.read1(READ_BYTES)
+                data = self._read_part()
                 more = self._more(stall_s)
             except (OSError, http.client.HTTPException) as error:
                 raise _failure(error, sent=True) from error
@@ -102,22 +110,63 @@
             if lines and (not more or len(lines) >= MAX_LINES):
                 return lines
 
+    def _read_part(self) -> bytes:
+        """Reads what is there; one chunk of a chunked answer at most."""
+        response = self._response
+        data = response.read1(READ_BYTES)
+        if response.length == 0:
+            # Unlike `read`, `read1` leaves an answer of known length open.
+            response.read()
+        return data
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last whole line."""
+        return self._rest
+
     def _more(self, stall_s: float) -> bool:
         """Tells whether further bytes of the answer have come already."""
         sock = _socket_of(self._response)
         return sock is not None and _has_buffered(self._response, sock, stall_s)
 
-    def read(self) -> bytes:
-        """Reads the rest of the answer."""
+    def read(self, wait: Wait | None = None) -> bytes:
+        """Reads the rest of the answer.
+
+        Args:
+            wait: How long to wait for each part; the socket's own timeout
+                applies if None.
+
+        Raises:
+            TargetError: The answer ended early, or is too large.
+        """
+        parts: list[bytes] = []
+        size = 0
         try:
-            return self._response.read(MAX_ANSWER_BYTES)
+            while not self._response.isclosed() and size < MAX_ANSWER_BYTES:
+                if wait is not None:
+                    self._client.wait(
+                        self._connection,
+                        self._response,
+                        wait.deadline,
+                        wait.stall_s,
+                        wait.check,
+                    )
+                part = self._read_part()
+                if not part:
+                    break
+                parts.append(part)
+                size += len(part)
         except (OSError, http.client.HTTPException) as error:
             raise _failure(error, sent=True) from error
+        # http.client reports an early end only to reads without a size.
+        if self._response.length or size >= MAX_ANSWER_BYTES:
+            raise TargetError(f"answer cut after {size} bytes", sent=True)
+        return b"".join(parts)
 
     def close(self) -> None:
         """Returns the connection to the pool if the answer was read whole."""
         if self._response.isclosed():
-            self._client.give_back(self._connection)
+            self._client.give_back(self._connection, _idle_s(self.headers))
         else:
             self._client.discard(self._connection)
 
@@ -125,9 +174,16 @@
 class HttpClient:
     """A client of one address; safe to use from many threads."""
 
-    def __init__(self, address: Address, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        clock: Clock | None = None,
+        *,
+        keepalive: bool = False,
+    ) -> None:
         self._address = address
         self._clock = clock or SystemClock()
+        self._keepalive = keepalive
         self._lock = threading.Lock()
         self._idle: list[_Connection] = []
         self._in_use: set[http.client.HTTPConnection] = set()
@@ -153,8 +209,9 @@
         stream = self.open(
             method, path, deadline, body=body, headers=headers, check=check
         )
+        wait = Wait(deadline, deadline, check) if check else None
         try:
-            data = stream.read()
+            data = stream.read(wait)
             return HttpAnswer(stream.status, stream.headers, data)
         finally:
             stream.close()
@@ -169,6 +226,7 @@
         headers: Mapping[str, str] | None = None,
         stall_s: float | None = None,
         check: Callable[[], None] | None = None,
+        fresh: bool = False,
     ) -> HttpStream:
         """Sends one request and returns its answer after the headers.
 
@@ -180,11 +238,12 @@
             headers: Further headers.
             stall_s: Longest time without a byte; up to the deadline if None.
             check: Called while waiting; may raise to end the wait.
+            fresh: Whether to use a new connection.
 
         Raises:
             TargetError: `sent` is False only if no connection was made.
         """
-        connection = self._take(deadline)
+        connection = self._take(deadline, fresh)
         with self._lock:
             self._in_use.add(connection.raw)
         bound_s = stall_s if stall_s is not None else deadline
@@ -193,6 +252,8 @@
             self.arm(connection, min_s=bound_s, deadline=deadline)
             if connection.raw.sock is None:
                 connection.raw.connect()
+                if self._keepalive and connection.raw.sock is not None:
+                    _probe_when_idle(connection.raw.sock)
             sent = True
             connection.raw.request(method, path, body, dict(headers or {}))
             if check is not None:
@@ -282,9 +343,20 @@
             self._in_use.discard(connection.raw)
         connection.raw.close()
 
-    def give_back(self, connection: _Connection) -> None:
-        """Keeps a connection for reuse unless it is old or surplus."""
-        fresh = connection.retire_at > self._clock.monotonic()
+    def give_back(
+        self, connection: _Connection, idle_s: float = MAX_CONNECTION_AGE_S
+    ) -> None:
+        """Keeps a connection for reuse unless it is old or surplus.
+
+        Args:
+            connection: The connection, whose last answer was read whole.
+            idle_s: How long the other end keeps it open without a request.
+        """
+        now = self._clock.monotonic()
+        fresh = connection.retire_at > now
+        connection = connection._replace(
+            idle_until=now + idle_s * IDLE_USE_SHARE
+        )
         with self._lock:
             self._in_use.discard(connection.raw)
             if fresh and len(self._idle) < MAX_IDLE_CONNECTIONS:
@@ -292,20 +364,22 @@
                 return
         connection.raw.close()
 
-    def _take(self, deadline: float) -> _Connection:
+    def _take(self, deadline: float, fresh: bool) -> _Connection:
         now = self._clock.monotonic()
         if deadline <= now or self._aborted:
             raise TargetError("deadline passed", sent=False)
         with self._lock:
-            while self._idle:
+            while self._idle and not fresh:
                 connection = self._idle.pop()
-                if connection.retire_at > now and _usable(connection.raw):
+                retire_at = min(connection.retire_at, connection.idle_until)
+                if retire_at > now and _usable(connection.raw):
                     return connection
                 connection.raw.close()
         raw = http.client.HTTPConnection(
             self._address.host, self._address.port, timeout=deadline - now
         )
-        return _Connection(raw, now + MAX_CONNECTION_AGE_S)
+        retire_at = now + MAX_CONNECTION_AGE_S
+        return _Connection(raw, retire_at, retire_at)
 
 
 def _usable(raw: http.client.HTTPConnection) -> bool:
@@ -344,3 +418,17 @@
     silent = isinstance(error, TimeoutError)
     message = f"{type(error).__name__}: {error}"
     return TargetError(message, sent=sent, silent=silent)
+
+
+def _idle_s(headers: http.client.HTTPMessage) -> float:
+    """Returns how long the other end keeps an idle connection open."""
+    found = _IDLE_TIMEOUT.search(headers.get("Keep-Alive", ""))
+    return float(found[1]) if found else MAX_CONNECTION_AGE_S
+
+
+def _probe_when_idle(sock: socket.socket) -> None:
+    """Lets the kernel end a connection whose other end does not answer."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
--- a/hibiscuspin/edges/operations.py
+++ b/hibiscuspin/edges/operations.py
@@ -3,10 +3,9 @@
 Status of all instances, self-checks, the way of a request, and reports.
 """
 
-import time
 from typing import Any, TypedDict
 
-from hibiscuspin.clock import Clock
+from hibiscuspin.clock import Clock, monotonic
 from hibiscuspin.edges import (
     InstanceList,
     PlatformStore,
@@ -155,7 +154,7 @@
         return _check("configuration known", revision > 0, f"{revision}")
 
     def _check_store(self) -> Check:
-        started = time.monotonic()
+        started = monotonic()
         try:
             self._store.get(CONFIG_KEY, started + CALL_TIMEOUT_S)
         except StoreError as error:
@@ -163,7 +162,7 @@
         return _check("store reachable", True, _took(started))
 
     def _check_list(self) -> Check:
-        started = time.monotonic()
+        started = monotonic()
         try:
             found = self._instances.instances(started + CALL_TIMEOUT_S)
         except TargetError as error:
@@ -189,4 +188,4 @@
 
 
 def _took(started: float) -> str:
-    return f"{(time.monotonic() - started) * 1000:.1f} ms"
+    return f"{(monotonic() - started) * 1000:.1f} ms"
--- a/hibiscuspin/edges/wsgi.py
+++ b/hibiscuspin/edges/wsgi.py
@@ -246,8 +246,8 @@
     """Returns the answer that an error gives."""
     answer = error.answer
     headers = []
-    if answer.retry_after_s is not None:
-        headers.append(("Retry-After", str(answer.retry_after_s)))
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", f"{error.retry_after_s:.3g}"))
     return json_response(error.body(), answer.status, headers)
 
 
--- a/hibiscuspin/errors.py
+++ b/hibiscuspin/errors.py
@@ -135,15 +135,25 @@
         kind: The error's entry in the closed list.
         detail: One sentence for the caller; holds no prompt text or token.
         ran: Whether the request ran; defaults to the kind's own answer.
+        retry_after_s: When the caller may come back; defaults likewise.
     """
 
     def __init__(
-        self, kind: ErrorKind, detail: str, ran: Ran | None = None
+        self,
+        kind: ErrorKind,
+        detail: str,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         super().__init__(f"{kind}: {detail}")
         self.kind = kind
         self.detail = detail
         self.ran = ran if ran is not None else ANSWERS[kind].ran
+        self.retry_after_s = (
+            retry_after_s
+            if retry_after_s is not None
+            else ANSWERS[kind].retry_after_s
+        )
 
     @property
     def answer(self) -> Answer:
--- a/hibiscuspin/logs.py
+++ b/hibiscuspin/logs.py
@@ -1,10 +1,16 @@
 """Structured logs: one JSON object a line, a fixed prefix for each part.
 
-Logs never hold prompt text, generated text, or tokens.
+Logs never hold prompt text, generated text, or tokens. Writing never blocks
+the thread that logs: lines wait in a bounded queue, and those that find it
+full, or that repeat too often, are counted and left out.
 """
 
 import logging
+import logging.handlers
+import queue
 import sys
+import threading
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -26,6 +32,11 @@
     "weights": "WEIGHTS",
 }
 
+# A request leaves about three lines; 200 requests a second fill this.
+LINES_PER_S = 200
+# Some seconds of a stalled reader at a usual load.
+QUEUE_LINES = 5_000
+
 _FORMAT = "%(asctime)s %(levelname)s %(message)s"
 
 
@@ -51,17 +62,71 @@
     return _PrefixAdapter(logger, PREFIXES[part])
 
 
-def configure(level: str, instance: str) -> None:
-    """Sends all logs to standard error as JSON.
+class _Bounded(logging.Filter):
+    """Lets each message through `LINES_PER_S` times a second at most."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._lock = threading.Lock()
+        self._second = 0
+        self._count_by_message: dict[str, int] = {}
+        self._omitted_by_message: dict[str, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Counts a line; a later one tells how many were left out."""
+        message = str(record.msg)
+        with self._lock:
+            if int(record.created) != self._second:
+                self._second = int(record.created)
+                self._count_by_message.clear()
+            count = self._count_by_message.get(message, 0) + 1
+            self._count_by_message[message] = count
+            if count > LINES_PER_S:
+                omitted = self._omitted_by_message.get(message, 0) + 1
+                self._omitted_by_message[message] = omitted
+                return False
+            omitted = self._omitted_by_message.pop(message, 0)
+        if omitted:
+            record.omitted = omitted
+        return True
+
+
+class _QueueHandler(logging.handlers.QueueHandler):
+    """Puts lines into a bounded queue; those that find it full are lost."""
+
+    lost = 0
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Leaves the formatting to the thread that writes."""
+        return record
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queues a line, with a count of those lost before it."""
+        if self.lost:
+            record.lost = self.lost
+        try:
+            self.queue.put_nowait(record)
+            self.lost = 0
+        except queue.Full:
+            self.lost += 1
+
+
+def configure(level: str, instance: str, stream: TextIO | None = None) -> None:
+    """Sends all logs to a stream as JSON.
 
     Args:
         level: A level name of the `logging` module.
         instance: This instance's name, part of each line.
+        stream: Where lines go; standard error if None.
     """
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
+    writer = logging.StreamHandler(stream or sys.stderr)
+    writer.setFormatter(
         JsonFormatter(_FORMAT, static_fields={"instance": instance})
     )
+    lines: queue.Queue[logging.LogRecord] = queue.Queue(QUEUE_LINES)
+    handler = _QueueHandler(lines)
+    handler.addFilter(_Bounded())
+    logging.handlers.QueueListener(lines, writer).start()
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
--- a/hibiscuspin/peers/calls.py
+++ b/hibiscuspin/peers/calls.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import enum
-import time
 
 from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.peers import hibiscuspin_grpc, hibiscuspin_pb2
 from hibiscuspin.peers.links import SECRET_METADATA
 from hibiscuspin.settings import parse_address
@@ -55,7 +55,7 @@
         Raises:
             PeerError: No result came.
         """
-        timeout = deadline - time.monotonic()
+        timeout = deadline - monotonic()
         if timeout <= 0:
             raise PeerError(PeerErrorKind.TIMEOUT, method)
         channel = self._channel(address)
@@ -84,7 +84,7 @@
         try:
             reply = await stub.Call(
                 request,
-                timeout=max(0.001, deadline - time.monotonic()),
+                timeout=max(0.001, deadline - monotonic()),
                 metadata={SECRET_METADATA: self._secret},
             )
         except TimeoutError as error:
--- a/hibiscuspin/peers/link.py
+++ b/hibiscuspin/peers/link.py
@@ -6,10 +6,10 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.decisions.snapshots import Key, Revision, Snapshot
 from hibiscuspin.peers import hibiscuspin_pb2
 
@@ -69,7 +69,7 @@
     ) -> None:
         self.instance = ""
         self.data_centre = ""
-        self.heard_at = time.monotonic()
+        self.heard_at = monotonic()
         self.traffic = Traffic()
         self._stream = stream
         self._on_update = on_update
@@ -107,7 +107,7 @@
 
     async def _read(self) -> None:
         async for update in self._stream:
-            self.heard_at = time.monotonic()
+            self.heard_at = monotonic()
             self.traffic = self.traffic.plus_received(update)
             kind = update.WhichOneof("body")
             if kind == "hello":
--- a/hibiscuspin/peers/links.py
+++ b/hibiscuspin/peers/links.py
@@ -1,7 +1,6 @@
 """The streams of one instance: those it opened and those it accepted."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -9,6 +8,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.logs import get_logger
 from hibiscuspin.peers import hibiscuspin_grpc
 from hibiscuspin.peers.link import Link, Traffic
@@ -139,7 +139,7 @@
         try:
             while not talk.done():
                 await asyncio.wait([talk], timeout=SILENT_S)
-                if time.monotonic() - link.heard_at > SILENT_S:
+                if monotonic() - link.heard_at > SILENT_S:
                     raise TimeoutError("the stream went silent")
             talk.result()
         finally:
--- /dev/null
+++ b/hibiscuspin/peers/rpc.py
@@ -0,0 +1,115 @@
+"""Single calls between instances over HTTP, with bodies in MessagePack.
+
+A unary call over grpclib costs twice the processor time of one over
+http.client and waitress (docs/decisions/0401-platform.md), and instances
+here keep no streams to each other.
+"""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.edges import TargetError
+from hibiscuspin.edges.http import HttpClient
+from hibiscuspin.edges.wsgi import (
+    Request,
+    Response,
+    Route,
+    WsgiApp,
+    error_response,
+)
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.settings import parse_address
+
+__all__ = ["PeerCalls", "PeerUnreachableError", "peer_app"]
+
+Handler = Callable[[bytes], bytes]
+
+# The largest job that the operators' limits allow, with its overhead.
+MAX_BODY_BYTES = 48 * 1024 * 1024
+
+
+class PeerUnreachableError(Exception):
+    """Another instance gave no answer."""
+
+
+class PeerCalls:
+    """Calls to other instances by address; safe to use from many threads."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._client_by_address: dict[str, HttpClient] = {}
+
+    def call(
+        self, address: str, method: str, body: bytes, timeout_s: float
+    ) -> bytes:
+        """Calls a method of another instance.
+
+        Raises:
+            PeerUnreachableError: No whole answer came in time.
+            HibiscusError: The other instance refused or failed.
+        """
+        deadline = self._clock.monotonic() + timeout_s
+        try:
+            answer = self._client(address).request(
+                "POST", f"/{method}", deadline, body=body
+            )
+        except TargetError as error:
+            raise PeerUnreachableError(f"{address}: {error}") from error
+        if answer.status == 200:
+            return answer.body
+        raise _error_of(answer.body, answer.status)
+
+    def _client(self, address: str) -> HttpClient:
+        with self._lock:
+            client = self._client_by_address.get(address)
+            if client is None:
+                client = HttpClient(parse_address(address), self._clock)
+                self._client_by_address[address] = client
+            return client
+
+    def forget_others(self, addresses: Iterable[str]) -> None:
+        """Closes the connections to all addresses but the given."""
+        kept = set(addresses)
+        with self._lock:
+            gone = [a for a in self._client_by_address if a not in kept]
+            clients = [self._client_by_address.pop(a) for a in gone]
+        for client in clients:
+            client.drop()
+
+
+def peer_app(handler_by_method: dict[str, Handler]) -> WsgiApp:
+    """Returns the interface that serves the calls of other instances."""
+    routes = [
+        Route("POST", f"/{method}", _served(handler), query=None)
+        for method, handler in handler_by_method.items()
+    ]
+    return WsgiApp(
+        routes, max_body_bytes=MAX_BODY_BYTES, logger=get_logger("peers")
+    )
+
+
+def _served(handler: Handler) -> Callable[[Request], Response]:
+    def serve(request: Request) -> Response:
+        try:
+            body = handler(request.body)
+        except HibiscusError as error:
+            return error_response(error)
+        return Response(200, "application/msgpack", body)
+
+    return serve
+
+
+def _error_of(body: bytes, status: int) -> HibiscusError:
+    try:
+        detail: Any = msgspec.json.decode(body)["error"]
+        kind = ErrorKind(detail["code"])
+        return HibiscusError(kind, detail["message"])
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        text = f"A peer answered {status}."
+        return HibiscusError(ErrorKind.INTERNAL, text)
--- /dev/null
+++ b/hibiscuspin/platform/__main__.py
@@ -0,0 +1,52 @@
+"""Runs one instance on the platform: `python3 -m hibiscuspin.platform`."""
+
+import os
+import pathlib
+import signal
+import sys
+import threading
+
+from hibiscuspin import logs
+from hibiscuspin.platform import words
+from hibiscuspin.platform.app import EdgeInstance
+from hibiscuspin.settings import SettingsError, exit_with_problems
+
+__all__ = ["main"]
+
+PROGRAM = "hibiscuspin.platform"
+# Settings may change without a signal.
+CHANGE_POLL_S = 1.0
+
+
+def main() -> None:
+    """Runs until SIGTERM; SIGHUP and changes of the file reload settings."""
+    path = pathlib.Path(os.environ.get(words.BOOT_VARIABLE, ""))
+    try:
+        instance = EdgeInstance.from_boot(path)
+    except SettingsError as error:
+        exit_with_problems(PROGRAM, error.problems)
+    logs.configure("INFO", instance.boot.instance, sys.stdout)
+    stop = threading.Event()
+    changed = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, lambda *_: changed.set())
+    instance.start()
+    modified = _modified(path)
+    while not stop.wait(CHANGE_POLL_S):
+        if changed.is_set() or _modified(path) != modified:
+            changed.clear()
+            modified = _modified(path)
+            instance.reload()
+    instance.stop()
+
+
+def _modified(path: pathlib.Path) -> float:
+    try:
+        return path.stat().st_mtime
+    except OSError:
+        return 0.0
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hibiscuspin/platform/app.py
@@ -0,0 +1,278 @@
+"""The application object of an instance on the platform."""
+
+import pathlib
+import random
+import secrets
+import threading
+import time
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+from hibiscuspin.clock import Clock, SystemClock
+from hibiscuspin.decisions.recovery import Member
+from hibiscuspin.edges.discovery import TargetRecord
+from hibiscuspin.edges.transactions import StoredValue
+from hibiscuspin.logs import get_logger
+from hibiscuspin.metrics import Metrics
+from hibiscuspin.peers.rpc import PeerCalls, peer_app
+from hibiscuspin.platform import engines, operators, retirement
+from hibiscuspin.platform.callers import ClientInterface, ready_app, text_app
+from hibiscuspin.platform.settings import Boot, read_boot
+from hibiscuspin.platform.store import KeyValueStore
+from hibiscuspin.settings import Address, SettingsError
+from hibiscuspin.tasks.directory import TargetDirectory
+from hibiscuspin.tasks.discovered import DiscoveredTargets
+from hibiscuspin.tasks.forwarding import Forwarder
+from hibiscuspin.tasks.http_server import HttpServer, ServerLimits
+from hibiscuspin.tasks.instances import LIVE_PREFIX, Instances
+from hibiscuspin.tasks.job_recovery import JobRecovery
+from hibiscuspin.tasks.job_store import JobStore
+from hibiscuspin.tasks.jobs import Jobs
+from hibiscuspin.tasks.local_job import JobTools
+from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
+from hibiscuspin.tasks.route_table import Routes
+from hibiscuspin.tasks.store_path import RELAY_METHOD, StorePath
+from hibiscuspin.tasks.stream_forwarding import StreamForwarder
+from hibiscuspin.tasks.supervisor import Supervisor, Task
+from hibiscuspin.tasks.weight_orders import WeightOrders
+
+__all__ = ["EdgeInstance"]
+
+CALLER_THREADS = 64
+PEER_THREADS = 24
+READY_THREADS = 1
+# Samples that one instance runs at once; the rest wait for it.
+SAMPLE_THREADS = 256
+METRICS_PORT = 9464
+# The balancer takes an instance out after two refusals, a second apart.
+UNREADY_S = 3.2
+STOP_POLL_S = 0.05
+# Left of the grace time for the end of the process itself.
+EXIT_MARGIN_S = 1.0
+
+_log = get_logger("daemon")
+
+
+class EdgeInstance:
+    """Builds the parts of one instance, and starts and stops them."""
+
+    def __init__(self, boot: Boot, path: pathlib.Path) -> None:
+        self._boot = boot
+        self._path = path
+        self._clock: Clock = SystemClock()
+        self._metrics = Metrics()
+        self._stopping = threading.Event()
+        draw = random.Random(boot.instance)
+        member = Member(
+            boot.instance,
+            secrets.token_hex(6),
+            str(boot.peer_address),
+            boot.data_centre,
+        )
+        self._peers = PeerCalls(self._clock)
+        self._store_path = StorePath(
+            boot.store_address, self._clock, self._peers, self._relays
+        )
+        self._store = KeyValueStore(self._store_path)
+        self._instances = Instances(
+            member, self._store, self._clock, draw, boot.takeover_s
+        )
+        self._targets = DiscoveredTargets(
+            boot.data_centre,
+            boot.region_by_data_centre,
+            self._clock,
+            self._connect,
+        )
+        self._routes = Routes(draw)
+        job_store = JobStore(self._store, self._clock)
+        self._runs = ThreadPoolExecutor(
+            SAMPLE_THREADS, thread_name_prefix="sample"
+        )
+        self._jobs = Jobs(
+            JobTools(
+                job_store,
+                self._targets,
+                self._runs,
+                self._routes.of_job,
+                self._clock,
+            ),
+            self._instances,
+            self._peers,
+        )
+        self._forwarder = Forwarder(self._targets, self._clock)
+        self._retirement = retirement.Retirement(self._store, self._clock)
+        self._config_watcher = PrefixWatcher(
+            operators.PREFIX,
+            self._store,
+            self._clock,
+            draw,
+            self._on_operators,
+        )
+        self._servers: list[HttpServer] = []
+        self._supervisor = Supervisor("instance", self._tasks(job_store, draw))
+
+    @classmethod
+    def from_boot(cls, path: pathlib.Path) -> "EdgeInstance":
+        """Builds an instance from the platform's settings file.
+
+        Raises:
+            SettingsError: The file is missing or wrong.
+        """
+        return cls(read_boot(path), path)
+
+    @property
+    def boot(self) -> Boot:
+        """The settings in force."""
+        return self._boot
+
+    def start(self) -> None:
+        """Starts all tasks."""
+        self._supervisor.start()
+        _log.info(
+            "Instance started.",
+            extra={
+                "instance": self._boot.instance,
+                "term": self._instances.member.term,
+            },
+        )
+
+    def reload(self) -> None:
+        """Reads the settings file again; a bad one changes nothing."""
+        try:
+            boot = read_boot(self._path)
+        except SettingsError as error:
+            _log.error("Settings ignored.", extra={"reason": str(error)})
+            return
+        changed = [
+            name
+            for name, before, after in zip(
+                Boot._fields, self._boot, boot, strict=True
+            )
+            if before != after
+        ]
+        self._boot = boot
+        self._store_path.move(boot.store_address)
+        self._instances.takeover_s = boot.takeover_s
+        _log.info("Settings reloaded.", extra={"changed": changed})
+
+    def stop(self) -> None:
+        """Stops gracefully: unready, hand over, open requests end."""
+        stop_by = self._clock.monotonic() + self._boot.grace_s - EXIT_MARGIN_S
+        self._stopping.set()
+        _log.info("Instance stopping.")
+        for server in self._servers:
+            server.drain(stop_by)
+        self._jobs.hand_over()
+        self._instances.leave()
+        unready_until = min(stop_by, self._clock.monotonic() + UNREADY_S)
+        while self._clock.monotonic() < unready_until:
+            time.sleep(STOP_POLL_S)
+        self._supervisor.stop()
+        self._jobs.stop()
+        self._forwarder.stop()
+        self._runs.shutdown()
+        _log.info("Instance stopped.")
+
+    def ready(self) -> bool:
+        """Tells whether callers may be sent here."""
+        return (
+            not self._stopping.is_set()
+            and self._routes.table is not None
+            and self._targets.known
+        )
+
+    def _tasks(self, job_store: JobStore, draw: random.Random) -> list[Task]:
+        boot = self._boot
+        clients = ClientInterface(
+            self._routes,
+            lambda: self._config_watcher.current,
+            self._forwarder,
+            StreamForwarder(self._targets, self._clock),
+            self._jobs,
+            self._metrics,
+            self._clock,
+        )
+        handlers = {
+            **self._jobs.handlers(),
+            RELAY_METHOD: self._store_path.serve_relay,
+        }
+        tasks: list[Task] = [
+            self._server("peer", peer_app(handlers), boot.peer_address, 24),
+            self._config_watcher,
+            PrefixWatcher(
+                LIVE_PREFIX,
+                self._store,
+                self._clock,
+                draw,
+                self._instances.on_values,
+            ),
+            TargetDirectory(
+                engines.PREFIX,
+                engines.decode_record,
+                self._store,
+                self._targets,
+                self._clock,
+                draw,
+            ),
+            self._instances,
+            JobRecovery(
+                self._instances,
+                self._jobs,
+                job_store,
+                self._clock,
+                boot.keep_s,
+            ),
+            WeightOrders(
+                self._instances,
+                self._targets,
+                self._routes.wanted_by_model,
+                self._routes.single_version,
+                self._clock,
+            ),
+            self._server(
+                "metrics",
+                text_app(Metrics.CONTENT_TYPE, self._metrics.exposition),
+                Address(boot.peer_address.host, METRICS_PORT),
+                1,
+            ),
+        ]
+        if boot.ready_address is not None:
+            app = ready_app(self.ready)
+            tasks.append(self._server("ready", app, boot.ready_address, 1))
+        if boot.caller_address is not None:
+            tasks.append(
+                self._server(
+                    "caller", clients, boot.caller_address, CALLER_THREADS
+                )
+            )
+        return tasks
+
+    def _server(
+        self, name: str, app: object, address: Address, threads: int
+    ) -> HttpServer:
+        server = HttpServer(name, app, address, threads)
+        self._servers.append(server)
+        return server
+
+    def _relays(self) -> list[str]:
+        return self._instances.relays()
+
+    def _connect(self, record: TargetRecord) -> engines.EngineCalls:
+        return engines.EngineCalls(record, self._clock)
+
+    def _on_operators(self, values_by_key: Mapping[str, StoredValue]) -> None:
+        table = operators.decode_table(values_by_key)
+        if table is not None and self._routes.take(table):
+            limits = table.limits
+            server_limits = ServerLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+            for server in self._servers:
+                if server.name == "caller":
+                    server.limit(server_limits)
+        self._routes.take_versions(operators.decode_versions(values_by_key))
+        if self._instances.term() is not None:
+            self._retirement.answer(operators.retire_requests(values_by_key))
--- /dev/null
+++ b/hibiscuspin/platform/batches.py
@@ -0,0 +1,114 @@
+"""Batch jobs as trainers send them, and results as they read them."""
+
+import binascii
+import re
+from base64 import b64decode
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.platform import words
+from hibiscuspin.tasks.job_store import ItemResult, JobContents, JobItem
+from hibiscuspin.tasks.jobs import Results
+
+__all__ = ["decode_job", "encode_results"]
+
+COMPLETED = "completed"
+ERRORED = "errored"
+# Ids become part of keys, which have at most 200 bytes.
+_ID = re.compile(r"[A-Za-z0-9._~-]{1,100}")
+
+
+def decode_job(job: str, host: str, path: str, body: bytes) -> JobContents:
+    """Returns a batch job.
+
+    Args:
+        job: Its id.
+        host: The host that its trainer named.
+        path: The path that it was sent to.
+        body: Its body.
+
+    Raises:
+        HibiscusError: `BAD_JSON` or `BAD_FIELD`.
+    """
+    if not _ID.fullmatch(job):
+        raise HibiscusError(ErrorKind.BAD_FIELD, "The job's id is malformed.")
+    try:
+        raw = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise HibiscusError(
+            ErrorKind.BAD_JSON, f"The body is not valid JSON: {error}"
+        ) from error
+    try:
+        items = tuple(_item(row) for row in raw["items"])
+        contents = JobContents(
+            job=job,
+            host=host,
+            path=path,
+            model=str(raw.get("model") or _model(items)),
+            oldest_version=int(raw.get("min_version") or 0),
+            # The groups that the trainer waits for, not all that there are.
+            wanted_groups=int(raw.get("group_count") or 0),
+            items=items,
+        )
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise HibiscusError(
+            ErrorKind.BAD_FIELD, f"A field is missing or malformed: {error!r}"
+        ) from error
+    if not items:
+        raise HibiscusError(ErrorKind.BAD_FIELD, "The job has no items.")
+    return contents
+
+
+def _item(raw: dict[str, Any]) -> JobItem:
+    headers = {str(k): str(v) for k, v in (raw.get("headers") or {}).items()}
+    return JobItem(
+        name=_checked(raw["id"]),
+        target=_checked(raw["path"]),
+        headers=headers,
+        body=b64decode(raw.get("body") or "", validate=True),
+        group=str(raw.get("group") or raw["id"]),
+        events=_expected_tokens(headers),
+    )
+
+
+def _checked(text: object) -> str:
+    if not isinstance(text, str) or not text:
+        raise ValueError(f"expected text, found {text!r}")
+    return text
+
+
+def _model(items: Sequence[JobItem]) -> str:
+    return items[0].headers.get(words.MODEL, "") if items else ""
+
+
+def _expected_tokens(headers: dict[str, str]) -> float:
+    """Returns how many tokens an item will probably generate."""
+    hint = headers.get(words.OUTPUT_HINT, "")
+    if hint.isdigit():
+        return float(hint)
+    most = headers.get(words.TOKEN_COUNT, "").rpartition(",")[2]
+    return float(most) if most.isdigit() else 1.0
+
+
+def encode_results(results: Results, after: int) -> bytes:
+    """Returns the body that a reader gets."""
+    rows = results.results
+    return msgspec.json.encode(
+        {
+            "total": results.total,
+            "next": after + len(rows),
+            "results": [_result(row) for row in rows],
+        }
+    )
+
+
+def _result(row: ItemResult) -> dict[str, Any]:
+    return {
+        "id": row.name,
+        "state": COMPLETED if row.done else ERRORED,
+        "text": row.text,
+        "versions": row.versions,
+    }
--- /dev/null
+++ b/hibiscuspin/platform/callers.py
@@ -0,0 +1,267 @@
+"""The interface that the platform's clients and trainers speak."""
+
+import urllib.parse
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import Any, NamedTuple
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions.routes import CallKind, ForwardRoute
+from hibiscuspin.edges import TargetError
+from hibiscuspin.edges.discovery import PassedCall
+from hibiscuspin.edges.wsgi import Response, error_response
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.metrics import Metrics
+from hibiscuspin.platform import batches, words
+from hibiscuspin.platform.engines import HOP_HEADERS
+from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
+from hibiscuspin.tasks.jobs import Jobs
+from hibiscuspin.tasks.route_table import Routes
+from hibiscuspin.tasks.stream_forwarding import StreamForwarder
+
+__all__ = ["ClientInterface", "ready_app", "text_app"]
+
+JOBS_PATH = "/hibiscuspin/lots/"
+ITEMS_PATH = "/hibiscuspin/items/"
+READY_PATH = "/hibiscuspin/ready"
+MS_PER_S = 1000.0
+MOST_WAIT_S = 1.0
+ACCEPTED = 202
+
+StartResponse = Callable[..., Any]
+
+_log = get_logger("callers")
+
+
+class _Incoming(NamedTuple):
+    """One request as the server read it."""
+
+    method: str
+    target: str
+    host: str
+    headers: dict[str, str]
+    body: bytes
+    disconnected: Callable[[], bool]
+
+    @property
+    def path(self) -> str:
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        text = self.target.partition("?")[2]
+        return dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+
+    def header(self, name: str) -> str:
+        return self.headers.get(name.title(), "")
+
+
+class ClientInterface:
+    """A WSGI application; each request goes to its route's part."""
+
+    def __init__(
+        self,
+        routes: Routes,
+        current: Callable[[], bool],
+        forwarder: Forwarder,
+        streams: StreamForwarder,
+        jobs: Jobs,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._routes = routes
+        self._current = current
+        self._forwarder = forwarder
+        self._streams = streams
+        self._jobs = jobs
+        self._metrics = metrics
+        self._clock = clock
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        started = self._clock.monotonic()
+        incoming = _incoming(environ)
+        part = "other"
+        try:
+            part, response = self._serve(incoming, started)
+        except HibiscusError as error:
+            response = error_response(error)
+            _log.info(
+                "Request refused.",
+                extra={
+                    "request_id": incoming.header(words.REQUEST_ID),
+                    "path": incoming.path,
+                    "code": str(error.kind),
+                    "ran": str(error.ran),
+                    "reason": error.detail,
+                },
+            )
+        except Exception:
+            _log.exception(
+                "Request failed.",
+                extra={"request_id": incoming.header(words.REQUEST_ID)},
+            )
+            response = error_response(
+                HibiscusError(ErrorKind.INTERNAL, "The instance failed.")
+            )
+        self._metrics.requests.labels(part, str(response.status)).inc()
+        self._metrics.observe(part, self._clock.monotonic() - started)
+        return _start(response, start_response)
+
+    def _serve(
+        self, incoming: _Incoming, started: float
+    ) -> tuple[str, Response]:
+        if incoming.path.startswith(JOBS_PATH):
+            job = incoming.path.removeprefix(JOBS_PATH)
+            if incoming.method == "DELETE":
+                self._jobs.end(job)
+                return "job_end", Response(200, words.BODY_TYPE, b"{}")
+            return "job_results", self._results(job, incoming)
+        if incoming.path.startswith(ITEMS_PATH):
+            job = incoming.path.removeprefix(ITEMS_PATH)
+            body = self._jobs.item_body(job, incoming.query.get("id", ""))
+            kind = "application/octet-stream"
+            return "job_item", Response(200, kind, body)
+        route = self._routes.find(incoming.host, incoming.path, self._current())
+        if route.kind is CallKind.JOB and incoming.method == "POST":
+            return "job_submit", self._submit(incoming, route, started)
+        call = self._call(incoming, route, started)
+        if route.kind is CallKind.STREAM:
+            return "stream", self._stream(call)
+        return "call", self._forward(call)
+
+    def _results(self, job: str, incoming: _Incoming) -> Response:
+        after = _number(incoming.query.get("after", "0"), "after")
+        wait_ms = _number(incoming.header(words.WAIT) or "0", words.WAIT)
+        wait_s = min(MOST_WAIT_S, wait_ms / MS_PER_S)
+        results = self._jobs.results(job, after, wait_s)
+        body = batches.encode_results(results, after)
+        return Response(200, words.BODY_TYPE, body)
+
+    def _submit(
+        self, incoming: _Incoming, route: ForwardRoute, started: float
+    ) -> Response:
+        job = incoming.header(words.REQUEST_ID)
+        contents = batches.decode_job(
+            job, incoming.host, incoming.path, incoming.body
+        )
+        deadline = started + _left_s(incoming, route.timeout_s)
+        self._jobs.submit(contents, route, deadline)
+        return Response(ACCEPTED, words.BODY_TYPE, b"{}")
+
+    def _call(
+        self, incoming: _Incoming, route: ForwardRoute, started: float
+    ) -> ForwardedCall:
+        passed = PassedCall(
+            incoming.header(words.REQUEST_ID),
+            incoming.method,
+            incoming.target,
+            incoming.headers,
+            incoming.body,
+        )
+        return ForwardedCall(
+            passed,
+            route,
+            self._routes.service_of(route),
+            started,
+            started + _left_s(incoming, route.timeout_s),
+            incoming.disconnected,
+        )
+
+    def _forward(self, call: ForwardedCall) -> Response:
+        answer = self._forwarder.forward(call)
+        return Response(answer.status, "", answer.body, answer.headers)
+
+    def _stream(self, call: ForwardedCall) -> Response:
+        headers, parts = self._streams.open(call)
+        return Response(200, "", parts, headers)
+
+
+def _incoming(environ: dict[str, Any]) -> _Incoming:
+    headers = {
+        name[5:].replace("_", "-").title(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    host = headers.get("Host", "")
+    # Names that the connection header lists concern one connection too.
+    listed = headers.get("Connection", "").lower().split(",")
+    dropped = HOP_HEADERS.union(name.strip() for name in listed)
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return _Incoming(
+        environ["REQUEST_METHOD"],
+        # The path is percent-decoded elsewhere in the environment.
+        environ["REQUEST_URI"],
+        host,
+        {k: v for k, v in headers.items() if k.lower() not in dropped},
+        environ["wsgi.input"].read(length) if length else b"",
+        environ.get("waitress.client_disconnected") or (lambda: False),
+    )
+
+
+def _left_s(incoming: _Incoming, default_s: float) -> float:
+    text = incoming.header(words.DEADLINE)
+    return _number(text, words.DEADLINE) / MS_PER_S if text else default_s
+
+
+def _number(text: str, name: str) -> int:
+    if not text.isdigit():
+        raise HibiscusError(
+            ErrorKind.BAD_FIELD, f"{name} is no whole number: {text!r}"
+        )
+    return int(text)
+
+
+def _start(
+    response: Response, start_response: StartResponse
+) -> Iterable[bytes]:
+    headers = list(response.headers)
+    if response.content_type:
+        headers.append(("Content-Type", response.content_type))
+    body = response.body
+    if isinstance(body, bytes):
+        headers.append(("Content-Length", str(len(body))))
+        start_response(f"{response.status} Status", headers)
+        return [body]
+    start_response(f"{response.status} Status", headers)
+    return _guarded(body)
+
+
+def _guarded(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Passes parts on; a broken stream closes the connection early."""
+    try:
+        yield from parts
+    except TargetError as error:
+        _log.info("Stream broken off.", extra={"reason": str(error)})
+        raise
+
+
+def ready_app(ready: Callable[[], bool]) -> Any:
+    """Returns the application that tells whether callers may be sent."""
+
+    def app(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Sequence[bytes]:
+        status = "200 OK" if ready() else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    return app
+
+
+def text_app(content_type: str, text: Callable[[], bytes]) -> Any:
+    """Returns an application that shows a text."""
+
+    def app(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Sequence[bytes]:
+        body = text()
+        length = ("Content-Length", str(len(body)))
+        start_response("200 OK", [("Content-Type", content_type), length])
+        return [body]
+
+    return app
--- /dev/null
+++ b/hibiscuspin/platform/engines.py
@@ -0,0 +1,302 @@
+"""Targets as the platform lists them, and the calls that they take."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.edges import TargetError, Wait
+from hibiscuspin.edges.discovery import (
+    Event,
+    OrderOutcome,
+    PassedAnswer,
+    PassedCall,
+    TargetRecord,
+    TargetState,
+    WeightOrder,
+)
+from hibiscuspin.edges.http import HttpAnswer, HttpClient, HttpStream
+from hibiscuspin.edges.transactions import StoredValue
+from hibiscuspin.platform import words
+from hibiscuspin.settings import parse_address
+
+__all__ = ["PREFIX", "EngineCalls", "EngineEvents", "decode_record"]
+
+PREFIX = "servers/"
+READY = "ready"
+DRAINING = "draining"
+MS_PER_S = 1000
+MISDIRECTED = 421
+ACCEPTED = 202
+OK = 200
+# Headers that concern one connection only, in lower case.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+
+
+def decode_record(value: StoredValue) -> TargetRecord | None:
+    """Returns a target's entry; None if it names no target to use."""
+    try:
+        raw = msgspec.json.decode(value.value)
+        return _record(value.key.removeprefix(PREFIX), raw)
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _record(name: str, raw: dict[str, Any]) -> TargetRecord:
+    if raw["state"] not in (READY, DRAINING):
+        raise ValueError("unknown state")
+    slots = raw["slots"]
+    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
+        raise ValueError("slots of another type")
+    service, zone = raw["service"], raw["zone"]
+    if not isinstance(service, str) or not isinstance(zone, str):
+        raise TypeError("service or zone of another type")
+    born = raw.get("born", 0)
+    return TargetRecord(
+        name=name,
+        born_ms=born if isinstance(born, int) else 0,
+        service=service,
+        address=parse_address(raw["address"]),
+        data_centre=zone,
+        slots=slots,
+        draining=raw["state"] == DRAINING,
+        version_by_model=_versions(raw),
+    )
+
+
+def _versions(raw: Mapping[str, Any]) -> dict[str, int]:
+    return {row["name"]: int(row["version"]) for row in raw.get("models") or ()}
+
+
+class EngineCalls:
+    """A `TargetCalls` at one address."""
+
+    def __init__(self, record: TargetRecord, clock: Clock) -> None:
+        self._name = record.name
+        self._clock = clock
+        self._client = HttpClient(record.address, clock)
+
+    def pass_on(
+        self,
+        call: PassedCall,
+        deadline: float,
+        check: Callable[[], None],
+        *,
+        fresh: bool = False,
+    ) -> PassedAnswer:
+        """Runs one request and returns the target's whole answer."""
+        stream = self._send(call, {}, deadline, deadline, check, fresh=fresh)
+        try:
+            body = stream.read(Wait(deadline, deadline, check))
+            self._verify(call, stream, body)
+        finally:
+            stream.close()
+        return PassedAnswer(stream.status, _passed(stream), body)
+
+    def open(self, call: PassedCall, after: int, wait: Wait) -> "EngineEvents":
+        """Starts a generation after an event, 0 for the start."""
+        extra = {words.LAST_EVENT_ID: str(after)} if after else {}
+        stream = self._send(
+            call, extra, wait.deadline, wait.stall_s, wait.check
+        )
+        try:
+            if stream.status != OK:
+                body = stream.read(wait)
+                self._verify(call, stream, body)
+                raise TargetError(
+                    f"status {stream.status}", sent=True, status=stream.status
+                )
+            self._verify(call, stream, b"")
+            return EngineEvents(stream)
+        except BaseException:
+            stream.close()
+            raise
+
+    def _send(
+        self,
+        call: PassedCall,
+        extra: Mapping[str, str],
+        deadline: float,
+        stall_s: float,
+        check: Callable[[], None],
+        *,
+        fresh: bool = False,
+    ) -> HttpStream:
+        left_s = deadline - self._clock.monotonic()
+        headers = {
+            **call.headers,
+            **extra,
+            words.REQUEST_ID: call.request_id,
+            words.EXPECT_INSTANCE: self._name,
+            words.DEADLINE: str(max(1, int(left_s * MS_PER_S))),
+        }
+        return self._client.open(
+            call.method,
+            call.target,
+            deadline,
+            body=call.body or None,
+            headers=headers,
+            stall_s=stall_s,
+            check=check,
+            fresh=fresh,
+        )
+
+    def _verify(
+        self, call: PassedCall, stream: HttpStream, body: bytes
+    ) -> None:
+        """Raises unless the answer is this target's to this request."""
+        status = stream.status
+        if status == MISDIRECTED:
+            raise TargetError(
+                "another target has the address",
+                sent=True,
+                refused=True,
+                draining=True,
+                status=status,
+            )
+        if words.NOT_EXECUTED in stream.headers:
+            raise TargetError(
+                f"refused with {status}", sent=True, refused=True, status=status
+            )
+        echoed = stream.headers.get(words.REQUEST_ID)
+        if echoed != call.request_id:
+            self._client.drop()
+            raise TargetError(f"answer to request {echoed}", sent=True)
+        if words.STAMP not in stream.headers:
+            raise TargetError(f"unsigned answer {status}", sent=True)
+        if stream.headers.get("Content-Encoding"):
+            raise TargetError("answer in an unasked encoding", sent=True)
+
+    def state(self, deadline: float) -> TargetState:
+        """Asks for the engine's state."""
+        answer = self._client.request(
+            "GET",
+            "/hibiscuspin/report",
+            deadline,
+            headers={words.EXPECT_INSTANCE: self._name},
+        )
+        raw = _body(answer)
+        return TargetState(
+            _versions(raw),
+            bool(raw["busy"]),
+            int(raw["seq_no"]),
+            int(raw["running"]) + int(raw["waiting"]),
+        )
+
+    def order(self, order: WeightOrder, deadline: float) -> OrderOutcome:
+        """Gives an order."""
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            # Runs that go on under the new weights keep their events.
+            "mode": "blocking" if order.finish_first else "retain",
+            "holder": order.holder,
+            "fence_token": order.fencing,
+            # The engine's count of accepted orders.
+            "expected": order.orders,
+        }
+        answer = self._client.request(
+            "POST",
+            "/hibiscuspin/order",
+            deadline,
+            body=msgspec.json.encode(body),
+            headers={
+                words.EXPECT_INSTANCE: self._name,
+                "Content-Type": words.BODY_TYPE,
+            },
+        )
+        detail = f"{answer.status} {answer.body[:120].decode(errors='replace')}"
+        return OrderOutcome(
+            answer.status == ACCEPTED, answer.status == OK, detail
+        )
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._client.drop()
+
+
+class EngineEvents:
+    """An `EventStream` in the format of server-sent events."""
+
+    def __init__(self, stream: HttpStream) -> None:
+        self._stream = stream
+        self._lines: list[bytes] = []
+        self._version = int(stream.headers.get(words.VERSION) or 0)
+        self.headers = _passed(stream)
+
+    def read(self, wait: Wait) -> list[Event]:
+        """Returns the events that have come; none at the end."""
+        events: list[Event] = []
+        while not events:
+            lines = self._stream.read_lines(
+                wait.deadline, wait.stall_s, wait.check
+            )
+            if not lines:
+                if self._lines or self._stream.rest:
+                    raise TargetError("ended within an event", sent=True)
+                return []
+            for line in lines:
+                self._lines.append(line)
+                if not line.strip():
+                    events += self._event()
+        return events
+
+    def _event(self) -> list[Event]:
+        lines, self._lines = self._lines, []
+        number: int | None = None
+        data: list[str] = []
+        for line in lines:
+            name, _, value = line.rstrip(b"\r").decode().partition(":")
+            value = value.removeprefix(" ")
+            if name == "data":
+                data.append(value)
+            elif name == "id" and value.isdigit():
+                number = int(value)
+            elif name == words.VERSION.lower() and value.isdigit():
+                self._version = int(value)
+        if number is None and not data:
+            return []
+        raw = b"\n".join(lines) + b"\n"
+        return [Event(raw, number, "\n".join(data), self._version)]
+
+    def close(self) -> None:
+        """Ends the generation unless it has ended."""
+        self._stream.close()
+
+
+def _passed(stream: HttpStream) -> Sequence[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in stream.headers.items()
+        if name.lower() not in HOP_HEADERS
+    ]
+
+
+def _body(answer: HttpAnswer) -> Any:
+    if answer.status != OK:
+        raise TargetError(
+            f"status {answer.status}",
+            sent=True,
+            draining=answer.status == MISDIRECTED,
+            status=answer.status,
+        )
+    try:
+        return msgspec.json.decode(answer.body)
+    except msgspec.DecodeError as error:
+        raise TargetError(f"bad body: {error}", sent=True) from error
--- /dev/null
+++ b/hibiscuspin/platform/operators.py
@@ -0,0 +1,105 @@
+"""What operators and trainers write into the store."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from hibiscuspin.decisions.routes import (
+    ClientLimits,
+    ForwardRoute,
+    RouteTable,
+    sorted_routes,
+)
+from hibiscuspin.edges.transactions import StoredValue
+from hibiscuspin.logs import get_logger
+from hibiscuspin.platform import words
+
+__all__ = ["PREFIX", "decode_table", "decode_versions", "retire_requests"]
+
+PREFIX = "op/"
+_CONFIG_KEY = PREFIX + "config"
+_VERSION_PREFIX = PREFIX + "version/"
+_RETIRE_PREFIX = PREFIX + "retire/"
+MS_PER_S = 1000.0
+
+_log = get_logger("config")
+
+
+def decode_table(
+    values_by_key: Mapping[str, StoredValue],
+) -> RouteTable | None:
+    """Returns the operators' configuration, or None without a good one."""
+    value = values_by_key.get(_CONFIG_KEY)
+    if value is None:
+        return None
+    try:
+        return _table(msgspec.json.decode(value.value))
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        _log.error(
+            "Configuration ignored.",
+            extra={"revision": value.revision, "reason": repr(error)},
+        )
+        return None
+
+
+def _table(raw: dict[str, Any]) -> RouteTable:
+    limits = raw["limits"]
+    return RouteTable(
+        int(raw["version"]),
+        sorted_routes([_route(row) for row in raw["routes"]]),
+        ClientLimits(
+            int(limits["max_header_bytes"]),
+            int(limits["max_body_bytes"]),
+            limits["header_timeout_ms"] / MS_PER_S,
+            limits["idle_timeout_ms"] / MS_PER_S,
+        ),
+    )
+
+
+def _route(raw: dict[str, Any]) -> ForwardRoute:
+    split = raw.get("split") or [{"service": raw["service"], "weight": 1}]
+    return ForwardRoute(
+        name=raw["name"],
+        host=raw["host"],
+        prefix=raw["prefix"],
+        kind=words.KIND_BY_WORD[raw["type"]],
+        weight_by_service={
+            row["service"]: float(row["weight"]) for row in split
+        },
+        timeout_s=raw["timeout_ms"] / MS_PER_S,
+        objective_s=raw["slo_ms"] / MS_PER_S,
+        max_attempts=int(raw.get("max_attempts") or 1),
+        priority=int(raw.get("priority", 5)),
+        resumable=bool(raw.get("resumable")),
+        single_version=bool(raw.get("single_version")),
+        result_due_s=raw.get("due_ms", 0) / MS_PER_S,
+        keep_s=float(raw.get("queue_ttl_s", 0)),
+    )
+
+
+def decode_versions(
+    values_by_key: Mapping[str, StoredValue],
+) -> dict[str, int]:
+    """Returns the newest version that was named for each model."""
+    version_by_model: dict[str, int] = {}
+    for key, value in values_by_key.items():
+        if not key.startswith(_VERSION_PREFIX):
+            continue
+        try:
+            raw = msgspec.json.decode(value.value)
+            version_by_model[str(raw["model"])] = int(raw["version"])
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+            _log.error(
+                "Version ignored.", extra={"key": key, "reason": repr(error)}
+            )
+    return version_by_model
+
+
+def retire_requests(values_by_key: Mapping[str, StoredValue]) -> list[str]:
+    """Returns the names of storage machines that are to be emptied."""
+    return [
+        key.removeprefix(_RETIRE_PREFIX)
+        for key in values_by_key
+        if key.startswith(_RETIRE_PREFIX)
+    ]
--- /dev/null
+++ b/hibiscuspin/platform/retirement.py
@@ -0,0 +1,49 @@
+"""Answers requests to empty storage machines.
+
+Nothing is kept on their disks, so that each is empty at once.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.edges import StoreError
+from hibiscuspin.edges.transactions import Put, Transaction, TransactionStore
+from hibiscuspin.logs import get_logger
+
+__all__ = ["Retirement"]
+
+STATUS_PREFIX = "status/retire/"
+COMPLETED = "completed"
+CALL_TIMEOUT_S = 2.0
+
+_log = get_logger("daemon")
+
+
+class Retirement:
+    """Writes the state of each storage machine that is to be emptied."""
+
+    def __init__(self, store: TransactionStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._answered: set[str] = set()
+
+    def answer(self, machines: Iterable[str]) -> None:
+        """Says of machines that they are empty, once each."""
+        for machine in machines:
+            if machine in self._answered:
+                continue
+            value = msgspec.json.encode({"state": COMPLETED})
+            put = Put(STATUS_PREFIX + machine, value)
+            deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+            try:
+                self._store.commit(Transaction({}, (put,)), deadline)
+            except StoreError as error:
+                _log.warning(
+                    "Storage machine not reported empty.",
+                    extra={"machine": machine, "reason": str(error)},
+                )
+                continue
+            self._answered.add(machine)
+            _log.info("Storage machine is empty.", extra={"machine": machine})
--- /dev/null
+++ b/hibiscuspin/platform/settings.py
@@ -0,0 +1,124 @@
+"""The settings file that the platform writes for each process."""
+
+import pathlib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import yaml
+
+from hibiscuspin.settings import Address, SettingsError, parse_address
+
+__all__ = ["Boot", "read_boot"]
+
+MS_PER_S = 1000.0
+
+
+class Boot(NamedTuple):
+    """Settings of one process, under the names used here.
+
+    Attributes:
+        instance: This instance's name.
+        data_centre: Where it stands.
+        region_by_data_centre: All data centres and their regions.
+        caller_address: Where callers connect; None if it takes none.
+        ready_address: Where it is asked whether it is ready.
+        peer_address: Where other instances call it.
+        store_address: The platform's store.
+        drain_s: How long a draining target still serves.
+        grace_s: The time from the stop signal to the end of the process.
+        keep_s: How long results can be read after a job's submission.
+        takeover_s: How long an engine must not hear from two coordinators.
+    """
+
+    instance: str
+    data_centre: str
+    region_by_data_centre: Mapping[str, str]
+    caller_address: Address | None
+    ready_address: Address | None
+    peer_address: Address
+    store_address: Address
+    drain_s: float
+    grace_s: float
+    keep_s: float
+    takeover_s: float
+
+
+def read_boot(path: pathlib.Path) -> Boot:
+    """Reads and checks a settings file; fields it does not know are ignored.
+
+    Raises:
+        SettingsError: The file can't be read, or fields are missing or of
+            another type; all are named.
+    """
+    try:
+        raw = yaml.safe_load(path.read_text())
+    except (OSError, yaml.YAMLError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    if not isinstance(raw, dict):
+        raise SettingsError([f"{path}: expected a table of fields"])
+    reader = _Reader(raw)
+    # Ports of this range are free on every machine; one is needed.
+    ports = reader.value("internal_ports", list)
+    first_port = ports[0] if ports and isinstance(ports[0], int) else 0
+    boot = Boot(
+        instance=reader.value("node_name", str),
+        data_centre=reader.value("zone", str),
+        region_by_data_centre=reader.value("zones", dict),
+        caller_address=reader.optional_address("listen", "front"),
+        ready_address=reader.optional_address("listen", "readiness"),
+        peer_address=Address(reader.value("ip", str), first_port),
+        store_address=reader.address("platform", "address"),
+        drain_s=reader.number("bounds", "drain_ms") / MS_PER_S,
+        grace_s=reader.number("bounds", "grace_s"),
+        keep_s=reader.number("bounds", "status_s"),
+        # The word speaks of orders to engines, not of the store's leases.
+        takeover_s=reader.number("bounds", "lease_ms") / MS_PER_S,
+    )
+    if reader.problems:
+        raise SettingsError([f"{path}: {text}" for text in reader.problems])
+    return boot
+
+
+class _Reader:
+    """Reads fields and gathers what is wrong with them."""
+
+    def __init__(self, raw: dict[str, Any]) -> None:
+        self._raw = raw
+        self.problems: list[str] = []
+
+    def value(self, name: str, kind: type) -> Any:
+        found = self._raw.get(name)
+        if isinstance(found, kind) and found:
+            return found
+        self.problems.append(
+            f"{name}: expected {kind.__name__}, found {found!r}"
+        )
+        return kind()
+
+    def number(self, table: str, name: str) -> float:
+        found = self._in(table, name)
+        if isinstance(found, int | float) and not isinstance(found, bool):
+            return float(found)
+        self.problems.append(f"{table}.{name}: expected a number")
+        return 0.0
+
+    def address(self, table: str, name: str) -> Address:
+        found = self.optional_address(table, name)
+        if found is None:
+            self.problems.append(f"{table}.{name}: expected HOST:PORT")
+            return Address("", 0)
+        return found
+
+    def optional_address(self, table: str, name: str) -> Address | None:
+        found = self._in(table, name)
+        if found is None:
+            return None
+        try:
+            return parse_address(str(found))
+        except ValueError as error:
+            self.problems.append(f"{table}.{name}: {error}, found {found!r}")
+            return None
+
+    def _in(self, table: str, name: str) -> Any:
+        rows = self._raw.get(table)
+        return rows.get(name) if isinstance(rows, dict) else None
--- /dev/null
+++ b/hibiscuspin/platform/store.py
@@ -0,0 +1,166 @@
+"""The platform's key-value service as a `TransactionStore`."""
+
+import base64
+import binascii
+import urllib.parse
+from typing import Any
+
+import msgspec
+
+from hibiscuspin.edges import StoreError
+from hibiscuspin.edges.transactions import (
+    Change,
+    Committed,
+    Conflict,
+    Grant,
+    HistoryLostError,
+    LeaseLostError,
+    Scan,
+    StoredValue,
+    Transaction,
+    Watched,
+)
+from hibiscuspin.tasks.store_path import StoreCall, StorePath, StoreReply
+
+__all__ = ["KeyValueStore"]
+
+MS_PER_S = 1000
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONFLICT = 412
+
+
+class KeyValueStore:
+    """Speaks the service's calls over a `StorePath`."""
+
+    def __init__(self, path: StorePath) -> None:
+        self._path = path
+
+    def read(self, key: str, deadline: float) -> StoredValue | None:
+        """Reads one key."""
+        call = _get("kv-key", {"key": key})
+        reply = self._path.send(call, deadline)
+        if reply.status == NOT_FOUND:
+            return None
+        return _value(_decoded(reply))
+
+    def scan(self, prefix: str, deadline: float) -> Scan:
+        """Reads all keys under a prefix, page by page."""
+        values: list[StoredValue] = []
+        revision = 0
+        query = {"prefix": prefix}
+        while True:
+            raw = _decoded(self._path.send(_get("kv-range", query), deadline))
+            page = [_value(item) for item in raw["items"]]
+            values += page
+            # A watch from the first page's revision misses no later change.
+            revision = revision or int(raw["as_of"])
+            if not raw["has_more"] or not page:
+                return Scan(tuple(values), revision)
+            query["after"] = page[-1].key
+
+    def watch(
+        self, prefix: str, after: int, wait_s: float, deadline: float
+    ) -> Watched:
+        """Waits for changes under a prefix later than a revision."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * MS_PER_S)),
+        }
+        reply = self._path.wait(_get("kv-watch", query), deadline)
+        if reply.status == GONE:
+            raise HistoryLostError("the history was dropped", False)
+        raw = _decoded(reply)
+        changes = tuple(_change(event) for event in raw["events"])
+        return Watched(changes, int(raw["as_of"]))
+
+    def commit(
+        self, transaction: Transaction, deadline: float
+    ) -> Committed | Conflict:
+        """Carries out a transaction."""
+        body = {
+            "expected": [
+                {"key": key, "revision": revision}
+                for key, revision in transaction.expected.items()
+            ],
+            "writes": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in transaction.puts
+            ],
+            "deletes": list(transaction.deletes),
+        }
+        reply = self._path.send(_post("kv-txn", body), deadline)
+        if reply.status == CONFLICT:
+            items = msgspec.json.decode(reply.body)["items"]
+            values = [_value(item) for item in items if item.get("revision")]
+            return Conflict({value.key: value for value in values})
+        if reply.status == NOT_FOUND:
+            raise LeaseLostError("a lease of the transaction has ended", False)
+        return Committed(int(_decoded(reply)["revision"]))
+
+    def grant_lease(self, ttl_s: float, deadline: float) -> Grant:
+        """Creates a lease."""
+        body = {"ttl_ms": int(ttl_s * MS_PER_S)}
+        raw = _decoded(self._path.send(_post("kv-lease", body), deadline))
+        return Grant(int(raw["lease"]), raw["ttl_ms"] / MS_PER_S)
+
+    def renew_lease(self, lease: int, deadline: float) -> None:
+        """Renews a lease."""
+        call = StoreCall("POST", f"/hibiscuspin/kv-keep/{lease}")
+        reply = self._path.send(call, deadline)
+        if reply.status == NOT_FOUND:
+            raise LeaseLostError(f"lease {lease} has ended", False)
+        _check(reply)
+
+    def revoke_lease(self, lease: int, deadline: float) -> None:
+        """Ends a lease and deletes its keys."""
+        call = StoreCall("DELETE", f"/hibiscuspin/kv-lease-end/{lease}")
+        reply = self._path.send(call, deadline)
+        if reply.status != NOT_FOUND:
+            _check(reply)
+
+
+def _get(name: str, query: dict[str, str]) -> StoreCall:
+    text = urllib.parse.urlencode(query, safe="/")
+    return StoreCall("GET", f"/hibiscuspin/{name}?{text}")
+
+
+def _post(name: str, body: object) -> StoreCall:
+    return StoreCall("POST", f"/hibiscuspin/{name}", msgspec.json.encode(body))
+
+
+def _check(reply: StoreReply) -> None:
+    if reply.status != OK:
+        detail = reply.body[:200].decode(errors="replace")
+        raise StoreError(f"store answered {reply.status}: {detail}", False)
+
+
+def _decoded(reply: StoreReply) -> Any:
+    _check(reply)
+    return msgspec.json.decode(reply.body)
+
+
+def _value(raw: dict[str, Any]) -> StoredValue:
+    try:
+        value = base64.b64decode(raw["value"], validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise StoreError(f"{raw['key']}: value of bad form", False) from error
+    return StoredValue(
+        raw["key"],
+        value,
+        raw["revision"],
+        raw.get("created", 0),
+        raw.get("lease", 0),
+    )
+
+
+def _change(raw: dict[str, Any]) -> Change:
+    if raw.get("tombstone"):
+        return Change(raw["key"], raw["revision"], None)
+    return Change(raw["key"], raw["revision"], _value(raw))
--- a/hibiscuspin/tasks/http_server.py
+++ b/hibiscuspin/tasks/http_server.py
@@ -12,17 +12,18 @@
 import struct
 import threading
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 from waitress import wasyncore
 from waitress.server import create_server
 from waitress.task import WSGITask
 
-from hibiscuspin.edges.channel import Channel
+from hibiscuspin.clock import monotonic
+from hibiscuspin.edges.channel import RECEIVE_TIMEOUT_S, Channel
 from hibiscuspin.logs import get_logger
 from hibiscuspin.settings import Address
 
-__all__ = ["HttpServer"]
+__all__ = ["HttpServer", "ServerLimits"]
 
 CHANNEL_TIMEOUT_S = 60
 CLEANUP_PERIOD_S = 10
@@ -48,6 +49,15 @@
 _log = get_logger("callers")
 
 
+class ServerLimits(NamedTuple):
+    """Bounds on what a client may send, and on its silence."""
+
+    header_bytes: int = MAX_HEADER_BYTES
+    body_bytes: int = MAX_BODY_BYTES
+    receive_timeout_s: float = RECEIVE_TIMEOUT_S
+    idle_timeout_s: float = CHANNEL_TIMEOUT_S
+
+
 class _Task(WSGITask):
     """A request whose answer closes the connection of a draining server."""
 
@@ -74,6 +84,21 @@
         self._threads = threads
         self._draining = threading.Event()
         self._stop_by = 0.0
+        self._limits = ServerLimits()
+        self._server: Any = None
+
+    def limit(self, limits: ServerLimits) -> None:
+        """Puts other limits in force, for open connections too."""
+        self._limits = limits
+        if self._server is not None:
+            self._apply_limits(self._server)
+
+    def _apply_limits(self, server: Any) -> None:
+        limits = self._limits
+        server.adj.max_request_header_size = limits.header_bytes
+        server.adj.max_request_body_size = limits.body_bytes
+        server.adj.channel_timeout = limits.idle_timeout_s
+        server.receive_timeout_s = limits.receive_timeout_s
 
     def drain(self, deadline: float) -> None:
         """Makes each answer close its connection; requests are still served.
@@ -91,9 +116,9 @@
         while not stop.is_set():
             wasyncore.loop(POLL_S, use_poll=True, map=sockets, count=1)
         self._draining.set()
-        deadline = self._stop_by or time.monotonic() + STOP_TIMEOUT_S
+        deadline = self._stop_by or monotonic() + STOP_TIMEOUT_S
         self._close_listener(server, sockets)
-        while time.monotonic() < deadline and _busy(server):
+        while monotonic() < deadline and _busy(server):
             wasyncore.loop(DRAIN_POLL_S, use_poll=True, map=sockets, count=1)
         if _busy(server):
             _log.warning("Requests cut at the stop.", extra={"part": self.name})
@@ -118,13 +143,15 @@
         )
         server.channel_class = _Channel
         server.draining = self._draining
+        self._apply_limits(server)
+        self._server = server
         return server
 
     def _close_listener(self, server: Any, sockets: dict[int, Any]) -> None:
         """Closes the listener without resetting connections in its queue."""
         _hold_off_handshakes(server.socket)
-        deadline = time.monotonic() + HANDSHAKE_S
-        while time.monotonic() < deadline:
+        deadline = monotonic() + HANDSHAKE_S
+        while monotonic() < deadline:
             wasyncore.loop(DRAIN_POLL_S, use_poll=True, map=sockets, count=1)
         server.accepting = False
         server.del_channel(sockets)
--- /dev/null
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -0,0 +1,116 @@
+"""Hands the jobs of lost instances to others; the coordinator's work."""
+
+import threading
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import recovery
+from hibiscuspin.decisions.recovery import HeldJob, Member
+from hibiscuspin.edges import StoreError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.tasks.instances import Instances
+from hibiscuspin.tasks.job_store import JobStore
+from hibiscuspin.tasks.jobs import Jobs
+
+__all__ = ["JobRecovery"]
+
+TICK_S = 0.1
+# Instances that go away are seen at once; this finds what was missed.
+SWEEP_PERIOD_S = 4.0
+# After a loss, until all its jobs run elsewhere.
+RETRY_S = 0.4
+SCAN_TIMEOUT_S = 2.0
+# Readers may ask for a job for the time that the platform states, plus some.
+KEEP_MARGIN_S = 30.0
+
+_log = get_logger("rollouts")
+
+
+class JobRecovery:
+    """Looks for orphaned jobs while this instance has the duty."""
+
+    name = "job recovery"
+
+    def __init__(
+        self,
+        instances: Instances,
+        jobs: Jobs,
+        store: JobStore,
+        clock: Clock,
+        keep_s: float,
+    ) -> None:
+        self._instances = instances
+        self._jobs = jobs
+        self._store = store
+        self._clock = clock
+        self._keep_s = keep_s + KEEP_MARGIN_S
+        self._sweep_at = 0.0
+        self._seen: frozenset[tuple[str, str]] = frozenset()
+
+    def run(self, stop: threading.Event) -> None:
+        """Sweeps after each change of the live instances, and regularly."""
+        self._resume_own(stop)
+        while not stop.wait(TICK_S):
+            now = self._clock.monotonic()
+            members = self._instances.members()
+            seen = frozenset((m.name, m.term) for m in members.values())
+            lost = bool(self._seen - seen)
+            self._seen = seen
+            if self._instances.term() is None:
+                self._sweep_at = 0.0
+                continue
+            if not lost and now < self._sweep_at:
+                continue
+            self._sweep_at = now + SWEEP_PERIOD_S
+            try:
+                self._sweep(members)
+            except StoreError as error:
+                self._sweep_at = now + RETRY_S
+                _log.info("Jobs not swept.", extra={"reason": str(error)})
+
+    def _resume_own(self, stop: threading.Event) -> None:
+        while not stop.is_set():
+            try:
+                self._jobs.resume_own()
+                return
+            except StoreError as error:
+                _log.info("Jobs not resumed.", extra={"reason": str(error)})
+                stop.wait(RETRY_S)
+
+    def _sweep(self, members: dict[str, Member]) -> None:
+        now = self._clock.monotonic()
+        rows = self._store.heads(now + SCAN_TIMEOUT_S)
+        held = [job for job, _ in rows]
+        counts: dict[str, int] = {}
+        for job in held:
+            if job.open:
+                counts[job.holder] = counts.get(job.holder, 0) + 1
+        for orphan in recovery.orphans(held, members):
+            self._hand(orphan, members, counts)
+            self._sweep_at = now + RETRY_S
+        wall = self._clock.wall()
+        for job in recovery.expired(held, self._keep_s, wall):
+            self._store.delete(job.job, now + SCAN_TIMEOUT_S)
+            _log.info("Job deleted.", extra={"job": job.job})
+        self._jobs.forget_older(wall - self._keep_s)
+
+    def _hand(
+        self,
+        orphan: HeldJob,
+        members: dict[str, Member],
+        counts: dict[str, int],
+    ) -> None:
+        member = recovery.successor(orphan.job, members, counts)
+        if member is None:
+            return
+        taken = self._jobs.assign(orphan.job, member)
+        if taken:
+            counts[member.name] = counts.get(member.name, 0) + 1
+        _log.info(
+            "Orphan assigned.",
+            extra={
+                "job": orphan.job,
+                "from": orphan.holder,
+                "to": member.name,
+                "taken": taken,
+            },
+        )
--- /dev/null
+++ b/hibiscuspin/tasks/job_store.py
@@ -0,0 +1,334 @@
+"""Batch jobs as the platform's store keeps them.
+
+A job has a small head, its contents, and its results in chunks. The head's
+revision fences its holder: every write of results expects it, so that a
+holder that was replaced can't add to a job. A chunk's content is fixed once
+a write of it was tried, so that the write can be repeated until its outcome
+is known.
+"""
+
+import zlib
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple, TypedDict
+
+import msgspec
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions.recovery import HeldJob
+from hibiscuspin.edges import StoreError
+from hibiscuspin.edges.transactions import (
+    Committed,
+    Conflict,
+    Put,
+    StoredValue,
+    Transaction,
+    TransactionStore,
+)
+
+__all__ = [
+    "HEAD_PREFIX",
+    "FencedError",
+    "ItemResult",
+    "JobContents",
+    "JobHead",
+    "JobItem",
+    "JobStore",
+    "StoredHead",
+]
+
+HEAD_PREFIX = "hibiscuspin/jobs/"
+_PART_PREFIX = "hibiscuspin/job-parts/"
+_RESULT_PREFIX = "hibiscuspin/job-results/"
+
+# A value may have a megabyte; base64 on the wire adds a third.
+PART_BYTES = 700_000
+PARTS_TOGETHER = 4
+DELETES_TOGETHER = 32
+CALL_TIMEOUT_S = 2.0
+
+
+class JobItem(NamedTuple):
+    """One sample to make.
+
+    Attributes:
+        name: Its id, which its result bears.
+        target: Path and query of its request.
+        headers: Its headers by name.
+        body: Its body.
+        group: The group of samples that share its prompt.
+        events: How many events its result may have.
+    """
+
+    name: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+    group: str
+    events: float
+
+
+class JobContents(NamedTuple):
+    """What a trainer asked for.
+
+    Attributes:
+        job: The job's id.
+        host: The host that its route is found by.
+        path: The path that its route is found by.
+        model: The model that makes its samples.
+        oldest_version: The oldest weights that may make them.
+        wanted_groups: How many whole groups the trainer waits for.
+        items: The samples.
+    """
+
+    job: str
+    host: str
+    path: str
+    model: str
+    oldest_version: int
+    wanted_groups: int
+    items: Sequence[JobItem]
+
+
+class ItemResult(NamedTuple):
+    """One listed result.
+
+    Attributes:
+        name: The item's id.
+        done: Whether the text is whole; otherwise the item was given up.
+        text: The data of its events.
+        versions: The weights that made it.
+    """
+
+    name: str
+    done: bool
+    text: str
+    versions: tuple[int, ...]
+
+
+class JobHead(TypedDict):
+    """The value of a job's head.
+
+    Attributes:
+        holder: The instance that runs the job.
+        term: That instance's incarnation.
+        parts: How many parts the contents have.
+        total: How many items there are.
+        submitted_at: Wall-clock time of its submission.
+        ended: Whether its trainer has ended it.
+        done: Whether all its results are listed.
+    """
+
+    holder: str
+    term: str
+    parts: int
+    total: int
+    submitted_at: float
+    ended: bool
+    done: bool
+
+
+class StoredHead(NamedTuple):
+    """A head and its revision."""
+
+    head: JobHead
+    revision: int
+
+
+class FencedError(Exception):
+    """The job's head is another one by now.
+
+    Attributes:
+        current: The head as it is; None if the job was deleted.
+    """
+
+    def __init__(self, current: StoredHead | None) -> None:
+        super().__init__("the job's head has changed")
+        self.current = current
+
+
+class JobStore:
+    """Reads and writes jobs."""
+
+    def __init__(self, store: TransactionStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    def create(
+        self, contents: JobContents, head: JobHead, deadline: float
+    ) -> StoredHead:
+        """Writes a job unless it exists.
+
+        Returns:
+            The head, which is another one where the job existed.
+
+        Raises:
+            StoreError: The store gave no answer; `applied` tells whether
+                the job may exist now or later.
+        """
+        parts = _parts(contents)
+        head = {**head, "parts": len(parts)}
+        puts = [
+            Put(f"{_PART_PREFIX}{contents.job}/{number:04d}", part)
+            for number, part in enumerate(parts)
+        ]
+        while len(puts) > PARTS_TOGETHER:
+            first, puts = puts[:PARTS_TOGETHER], puts[PARTS_TOGETHER:]
+            self._store.commit(Transaction({}, first), deadline)
+        key = HEAD_PREFIX + contents.job
+        puts.append(Put(key, msgspec.json.encode(head)))
+        outcome = self._store.commit(Transaction({key: 0}, puts), deadline)
+        if isinstance(outcome, Committed):
+            return StoredHead(head, outcome.revision)
+        return _stored(outcome.values_by_key[key])
+
+    def head(self, job: str, deadline: float) -> StoredHead | None:
+        """Reads a job's head; None if there is no such job."""
+        value = self._store.read(HEAD_PREFIX + job, deadline)
+        return _stored(value) if value else None
+
+    def heads(self, deadline: float) -> list[tuple[HeldJob, StoredHead]]:
+        """Reads the heads of all jobs."""
+        scan = self._store.scan(HEAD_PREFIX, deadline)
+        rows = []
+        for value in scan.values:
+            stored = _stored(value)
+            head = stored.head
+            job = HeldJob(
+                value.key.removeprefix(HEAD_PREFIX),
+                head["holder"],
+                head["term"],
+                not head["ended"] and not head["done"],
+                head["submitted_at"],
+            )
+            rows.append((job, stored))
+        return rows
+
+    def contents(self, job: str, parts: int, deadline: float) -> JobContents:
+        """Reads what a trainer asked for."""
+        scan = self._store.scan(f"{_PART_PREFIX}{job}/", deadline)
+        if len(scan.values) < parts:
+            raise StoreError(f"job {job} has {len(scan.values)} parts", False)
+        packed = b"".join(value.value for value in scan.values)
+        return msgspec.msgpack.decode(zlib.decompress(packed), type=JobContents)
+
+    def results(self, job: str, deadline: float) -> list[ItemResult]:
+        """Reads all listed results in their order."""
+        scan = self._store.scan(f"{_RESULT_PREFIX}{job}/", deadline)
+        results: list[ItemResult] = []
+        for value in sorted(scan.values, key=lambda value: value.key):
+            results += _unpacked(value.value)
+        return results
+
+    def add_results(
+        self,
+        job: str,
+        stored: StoredHead,
+        first: int,
+        results: Sequence[ItemResult],
+        done: bool,
+        deadline: float,
+    ) -> StoredHead:
+        """Lists results from a position on.
+
+        Args:
+            job: The job.
+            stored: The head under which the caller holds it.
+            first: The position of the first result.
+            results: The results; the same at each repeat.
+            done: Whether these are the last.
+            deadline: When to give up.
+
+        Returns:
+            The head, a new one where these were the last.
+
+        Raises:
+            FencedError: Another head holds.
+            StoreError: The outcome is unknown; call again with the same.
+        """
+        head_key = HEAD_PREFIX + job
+        key = f"{_RESULT_PREFIX}{job}/{first:06d}"
+        packed = _packed(results)
+        puts = [Put(key, packed)]
+        head: JobHead = {**stored.head, "done": done}
+        if done:
+            puts.append(Put(head_key, msgspec.json.encode(head)))
+        expected = {head_key: stored.revision, key: 0}
+        outcome = self._store.commit(Transaction(expected, puts), deadline)
+        if isinstance(outcome, Committed):
+            return StoredHead(head, outcome.revision) if done else stored
+        return self._after_conflict(stored, outcome, head_key, key, packed)
+
+    def _after_conflict(
+        self,
+        stored: StoredHead,
+        outcome: Conflict,
+        head_key: str,
+        key: str,
+        packed: bytes,
+    ) -> StoredHead:
+        """Tells a repeated write that had taken effect from a lost fence."""
+        value = outcome.values_by_key.get(head_key)
+        current = _stored(value) if value else None
+        chunk = outcome.values_by_key.get(key)
+        if current is None or chunk is None or chunk.value != packed:
+            raise FencedError(current)
+        same_holder = (
+            current.head["holder"] == stored.head["holder"]
+            and current.head["term"] == stored.head["term"]
+        )
+        if not same_holder or current.head["ended"]:
+            raise FencedError(current)
+        return current
+
+    def replace_head(
+        self, job: str, stored: StoredHead, head: JobHead, deadline: float
+    ) -> StoredHead:
+        """Writes a head in place of the one that was read.
+
+        Raises:
+            FencedError: Another head holds.
+            StoreError: The outcome is unknown.
+        """
+        key = HEAD_PREFIX + job
+        put = Put(key, msgspec.json.encode(head))
+        outcome = self._store.commit(
+            Transaction({key: stored.revision}, (put,)), deadline
+        )
+        if isinstance(outcome, Committed):
+            return StoredHead(head, outcome.revision)
+        value = outcome.values_by_key.get(key)
+        current = _stored(value) if value else None
+        if current is not None and current.head == head:
+            return current
+        raise FencedError(current)
+
+    def delete(self, job: str, deadline: float) -> None:
+        """Deletes a job and all that belongs to it, its head last."""
+        for prefix in (f"{_PART_PREFIX}{job}/", f"{_RESULT_PREFIX}{job}/"):
+            keys = [v.key for v in self._store.scan(prefix, deadline).values]
+            for start in range(0, len(keys), DELETES_TOGETHER):
+                chunk = keys[start : start + DELETES_TOGETHER]
+                self._store.commit(Transaction({}, (), chunk), deadline)
+        head = [HEAD_PREFIX + job]
+        self._store.commit(Transaction({}, (), head), deadline)
+
+
+def _stored(value: StoredValue) -> StoredHead:
+    head = msgspec.json.decode(value.value, type=JobHead)
+    return StoredHead(head, value.revision)
+
+
+def _parts(contents: JobContents) -> list[bytes]:
+    packed = zlib.compress(msgspec.msgpack.encode(contents), level=1)
+    return [
+        packed[start : start + PART_BYTES]
+        for start in range(0, len(packed), PART_BYTES)
+    ]
+
+
+def _packed(results: Sequence[ItemResult]) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode(results), level=1)
+
+
+def _unpacked(value: bytes) -> list[ItemResult]:
+    return msgspec.msgpack.decode(zlib.decompress(value), type=list[ItemResult])
--- /dev/null
+++ b/hibiscuspin/tasks/jobs.py
@@ -0,0 +1,557 @@
+"""All batch jobs as callers see them, whichever instance holds each.
+
+A call is served by the job's holder, or from the store where the holder
+does not answer. Any instance accepts a job and holds it first.
+"""
+
+import threading
+import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+import msgspec
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import recovery
+from hibiscuspin.decisions.recovery import Member
+from hibiscuspin.decisions.routes import ForwardRoute
+from hibiscuspin.decisions.samples import Made
+from hibiscuspin.edges import StoreError
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.peers.rpc import Handler, PeerCalls, PeerUnreachableError
+from hibiscuspin.tasks.instances import Instances
+from hibiscuspin.tasks.job_store import (
+    FencedError,
+    ItemResult,
+    JobContents,
+    JobHead,
+    StoredHead,
+)
+from hibiscuspin.tasks.local_job import JobTools, LocalJob
+
+__all__ = ["Jobs", "Results"]
+
+ADOPT_METHOD = "jobs.adopt"
+END_METHOD = "jobs.end"
+HOLDS_METHOD = "jobs.holds"
+ITEM_METHOD = "jobs.item"
+RESULTS_METHOD = "jobs.results"
+
+MAX_JOBS = 64
+# Trainers send a refused job once more; outages of the store last seconds.
+ACCEPT_TIMEOUT_S = 4.0
+ACCEPT_RETRY_S = 0.1
+# Readers wait 1.5 s longer than they allow; the store is asked in that time.
+PEER_SLACK_S = 0.4
+PEER_TIMEOUT_S = 0.8
+STORE_TIMEOUT_S = 1.2
+END_TIMEOUT_S = 2.0
+ADOPT_TIMEOUT_S = 2.5
+# A reader gets at most a megabyte; JSON escapes little of these texts.
+RESULT_BYTES = 900_000
+HEAD_FRESH_S = 1.0
+
+_log = get_logger("rollouts")
+
+
+class Results(NamedTuple):
+    """Results of a job from a position on, and how many items it has."""
+
+    total: int
+    results: Sequence[ItemResult]
+
+
+class _Adoption(NamedTuple):
+    job: str
+    made_by_name: dict[str, list[Made]]
+
+
+class _ReadCall(NamedTuple):
+    job: str
+    after: int
+    wait_s: float
+
+
+class _ItemCall(NamedTuple):
+    job: str
+    item: str
+
+
+class Jobs:
+    """The jobs of this instance, and the way to those of others."""
+
+    def __init__(
+        self,
+        tools: JobTools,
+        instances: Instances,
+        peers: PeerCalls,
+    ) -> None:
+        self._tools = tools
+        self._store = tools.store
+        self._instances = instances
+        self._peers = peers
+        self._clock: Clock = tools.clock
+        self._lock = threading.Lock()
+        self._job_by_id: dict[str, LocalJob] = {}
+        self._head_by_id: dict[str, tuple[StoredHead, float]] = {}
+        self._controls = ThreadPoolExecutor(MAX_JOBS, thread_name_prefix="job")
+        self._stopping = False
+
+    def handlers(self) -> dict[str, Handler]:
+        """Returns the calls that other instances make."""
+        return {
+            ADOPT_METHOD: self._serve_adopt,
+            END_METHOD: self._serve_end,
+            HOLDS_METHOD: self._serve_holds,
+            ITEM_METHOD: self._serve_item,
+            RESULTS_METHOD: self._serve_results,
+        }
+
+    def submit(
+        self, contents: JobContents, route: ForwardRoute, deadline: float
+    ) -> None:
+        """Accepts a job durably; a repeated one is accepted as well.
+
+        Raises:
+            HibiscusError: `STORE_UNAVAILABLE` if no part of it will run,
+                `OUTCOME_UNKNOWN` if it may have been accepted.
+        """
+        if contents.job in self._job_by_id:
+            return
+        if self._stopping:
+            raise HibiscusError(ErrorKind.STOPPING, "The instance stops.")
+        member = self._instances.member
+        head: JobHead = {
+            "holder": member.name,
+            "term": member.term,
+            "parts": 0,
+            "total": len(contents.items),
+            "submitted_at": self._clock.wall(),
+            "ended": False,
+            "done": False,
+        }
+        stored = self._create(contents, head, deadline)
+        mine = stored.head["submitted_at"] == head["submitted_at"]
+        if mine and self._is_mine(stored.head):
+            self._hold(LocalJob(contents, stored, (), route, self._tools))
+        _log.info(
+            "Job accepted.",
+            extra={
+                "job": contents.job,
+                "items": len(contents.items),
+                "holder": stored.head["holder"],
+                "revision": stored.revision,
+            },
+        )
+
+    def _create(
+        self, contents: JobContents, head: JobHead, deadline: float
+    ) -> StoredHead:
+        end = min(deadline, self._clock.monotonic() + ACCEPT_TIMEOUT_S)
+        applied: bool | None = False
+        while True:
+            try:
+                return self._store.create(contents, head, end)
+            except StoreError as error:
+                if error.applied is None:
+                    applied = None
+                reason = str(error)
+            if self._clock.monotonic() + ACCEPT_RETRY_S >= end:
+                break
+            time.sleep(ACCEPT_RETRY_S)
+        _log.warning(
+            "Job not accepted.",
+            extra={
+                "job": contents.job,
+                "applied": applied,
+                "reason": reason,
+            },
+        )
+        kind = (
+            ErrorKind.STORE_UNAVAILABLE
+            if applied is False
+            else ErrorKind.OUTCOME_UNKNOWN
+        )
+        raise HibiscusError(kind, "The store did not confirm the job.")
+
+    def _is_mine(self, head: JobHead) -> bool:
+        member = self._instances.member
+        return head["holder"] == member.name and head["term"] == member.term
+
+    def _hold(self, job: LocalJob) -> None:
+        with self._lock:
+            self._job_by_id[job.contents.job] = job
+        self._controls.submit(job.run)
+
+    def results(self, job: str, after: int, wait_s: float) -> Results:
+        """Returns results from a position on, waiting for one.
+
+        Raises:
+            HibiscusError: `NOT_FOUND` if there is no such job,
+                `STORE_UNAVAILABLE` if that can't be told.
+        """
+        local = self._local_results(job, after, wait_s)
+        if local is not None:
+            return local
+        head = self._head(job).head
+        remote = self._remote_results(head, job, after, wait_s)
+        if remote is not None:
+            return remote
+        return self._stored_results(job, after)
+
+    def _local_results(
+        self, job: str, after: int, wait_s: float
+    ) -> Results | None:
+        local = self._job_by_id.get(job)
+        if local is None:
+            return None
+        until = self._clock.monotonic() + wait_s
+        rows, holds = local.results(after, until)
+        if not holds:
+            self._forget(job)
+            return None
+        return Results(len(local.contents.items), _bounded(rows))
+
+    def _remote_results(
+        self, head: JobHead, job: str, after: int, wait_s: float
+    ) -> Results | None:
+        member = self._holder(head)
+        if member is None:
+            return None
+        call = msgspec.msgpack.encode(_ReadCall(job, after, wait_s))
+        timeout_s = wait_s + PEER_SLACK_S
+        try:
+            body = self._peers.call(
+                member.address, RESULTS_METHOD, call, timeout_s
+            )
+        except (PeerUnreachableError, HibiscusError) as error:
+            self._head_by_id.pop(job, None)
+            _log.info(
+                "Holder not reached.",
+                extra={
+                    "job": job,
+                    "holder": member.name,
+                    "reason": str(error),
+                },
+            )
+            return None
+        return msgspec.msgpack.decode(body, type=Results)
+
+    def _stored_results(self, job: str, after: int) -> Results:
+        deadline = self._clock.monotonic() + STORE_TIMEOUT_S
+        try:
+            stored = self._store.head(job, deadline)
+            if stored is None:
+                raise HibiscusError(ErrorKind.NOT_FOUND, f"No job {job}.")
+            rows = self._store.results(job, deadline)
+        except StoreError as error:
+            raise _unavailable(error) from error
+        return Results(stored.head["total"], _bounded(rows[after:]))
+
+    def item_body(self, job: str, item: str) -> bytes:
+        """Returns the body of an item of a job that has not ended.
+
+        Raises:
+            HibiscusError: As `results`.
+        """
+        local = self._job_by_id.get(job)
+        if local is not None and not local.stored.head["ended"]:
+            return _body_of(local.contents, item)
+        stored = self._head(job)
+        if stored.head["ended"]:
+            raise HibiscusError(ErrorKind.NOT_FOUND, f"Job {job} has ended.")
+        member = self._holder(stored.head)
+        if member is not None:
+            call = msgspec.msgpack.encode(_ItemCall(job, item))
+            try:
+                return self._peers.call(
+                    member.address, ITEM_METHOD, call, PEER_TIMEOUT_S
+                )
+            except (PeerUnreachableError, HibiscusError):
+                self._head_by_id.pop(job, None)
+        deadline = self._clock.monotonic() + STORE_TIMEOUT_S
+        try:
+            contents = self._store.contents(job, stored.head["parts"], deadline)
+        except StoreError as error:
+            raise _unavailable(error) from error
+        return _body_of(contents, item)
+
+    def end(self, job: str) -> None:
+        """Ends a job; a repeated call does nothing.
+
+        Raises:
+            HibiscusError: As `results`.
+        """
+        local = self._job_by_id.get(job)
+        if local is None:
+            member = self._holder(self._head(job).head)
+            if member is not None and self._end_at(member, job):
+                return
+        self._end_here(job, local)
+
+    def _end_at(self, member: Member, job: str) -> bool:
+        call = msgspec.msgpack.encode(job)
+        try:
+            self._peers.call(member.address, END_METHOD, call, PEER_TIMEOUT_S)
+        except (PeerUnreachableError, HibiscusError):
+            self._head_by_id.pop(job, None)
+            return False
+        return True
+
+    def _end_here(self, job: str, local: LocalJob | None) -> None:
+        if local is not None:
+            local.finish()
+        deadline = self._clock.monotonic() + END_TIMEOUT_S
+        stored = local.stored if local else None
+        try:
+            while True:
+                stored = stored or self._store.head(job, deadline)
+                if stored is None:
+                    raise HibiscusError(ErrorKind.NOT_FOUND, f"No job {job}.")
+                if not stored.head["ended"]:
+                    ended: JobHead = {**stored.head, "ended": True}
+                    stored = self._replaced(job, stored, ended, deadline)
+                if stored is not None:
+                    break
+        except StoreError as error:
+            raise _unavailable(error) from error
+        if local is not None:
+            local.stored = stored
+        self._head_by_id[job] = (stored, self._clock.monotonic())
+        _log.info("Job ended.", extra={"job": job})
+
+    def _replaced(
+        self, job: str, stored: StoredHead, head: JobHead, deadline: float
+    ) -> StoredHead | None:
+        try:
+            return self._store.replace_head(job, stored, head, deadline)
+        except FencedError as fenced:
+            return fenced.current
+
+    def adopt(
+        self, job: str, made_by_name: dict[str, list[Made]] | None = None
+    ) -> bool:
+        """Takes a job over from the store; returns whether it is held here.
+
+        Raises:
+            StoreError: The store could not be reached.
+        """
+        if job in self._job_by_id or self._stopping:
+            return job in self._job_by_id
+        deadline = self._clock.monotonic() + ADOPT_TIMEOUT_S
+        stored = self._store.head(job, deadline)
+        if stored is None or stored.head["ended"] or stored.head["done"]:
+            return False
+        member = self._instances.member
+        head: JobHead = {
+            **stored.head,
+            "holder": member.name,
+            "term": member.term,
+        }
+        before = stored.head["holder"]
+        try:
+            stored = self._store.replace_head(job, stored, head, deadline)
+        except FencedError:
+            return False
+        contents = self._store.contents(job, head["parts"], deadline)
+        listed = self._store.results(job, deadline)
+        found = self._tools.route_of(contents)
+        if found is None:
+            return False
+        local = LocalJob(
+            contents, stored, listed, found[0], self._tools, made_by_name
+        )
+        self._hold(local)
+        _log.info(
+            "Job taken over.",
+            extra={
+                "job": job,
+                "from": before,
+                "listed": len(listed),
+                "samples_begun": len(made_by_name or {}),
+            },
+        )
+        return True
+
+    def resume_own(self) -> None:
+        """Takes over the jobs that this instance held before it restarted.
+
+        Raises:
+            StoreError: The store could not be reached.
+        """
+        deadline = self._clock.monotonic() + ADOPT_TIMEOUT_S
+        name = self._instances.member.name
+        for held, _ in self._store.heads(deadline):
+            if held.open and held.holder == name:
+                self.adopt(held.job)
+
+    def hand_over(self) -> None:
+        """Gives all open jobs to other instances, with what was made."""
+        self._stopping = True
+        counts: dict[str, int] = {}
+        for job, local in list(self._job_by_id.items()):
+            if local.over or local.done:
+                continue
+            made_by_name = local.pause()
+            self._give(job, made_by_name, counts)
+
+    def _give(
+        self,
+        job: str,
+        made_by_name: dict[str, list[Made]],
+        counts: dict[str, int],
+    ) -> None:
+        members = self._instances.members()
+        members.pop(self._instances.member.name, None)
+        call = msgspec.msgpack.encode(_Adoption(job, made_by_name))
+        refused: list[str] = []
+        while member := recovery.successor(job, members, counts, refused):
+            counts[member.name] = counts.get(member.name, 0) + 1
+            if self._ask_to_adopt(member, call):
+                _log.info(
+                    "Job handed over.",
+                    extra={"job": job, "to": member.name},
+                )
+                return
+            refused.append(member.name)
+        _log.warning("Job not handed over.", extra={"job": job})
+
+    def _ask_to_adopt(self, member: Member, call: bytes) -> bool:
+        try:
+            body = self._peers.call(
+                member.address, ADOPT_METHOD, call, ADOPT_TIMEOUT_S
+            )
+        except (PeerUnreachableError, HibiscusError) as error:
+            _log.info(
+                "Job not taken.",
+                extra={"peer": member.name, "reason": str(error)},
+            )
+            return False
+        return msgspec.msgpack.decode(body, type=bool)
+
+    def assign(self, job: str, member: Member) -> bool:
+        """Has another instance, or this one, take over a lost job."""
+        if member.name == self._instances.member.name:
+            return self.adopt(job)
+        call = msgspec.msgpack.encode(_Adoption(job, {}))
+        return self._ask_to_adopt(member, call)
+
+    def held_by(self, member: Member, job: str) -> bool:
+        """Asks an instance whether it holds a job; False without answer."""
+        if member.name == self._instances.member.name:
+            return job in self._job_by_id
+        call = msgspec.msgpack.encode(job)
+        try:
+            body = self._peers.call(
+                member.address, HOLDS_METHOD, call, PEER_TIMEOUT_S
+            )
+        except (PeerUnreachableError, HibiscusError):
+            return False
+        return msgspec.msgpack.decode(body, type=bool)
+
+    def forget_older(self, submitted_before: float) -> None:
+        """Drops jobs that nobody may ask for any more."""
+        for job, local in list(self._job_by_id.items()):
+            submitted_at = local.stored.head["submitted_at"]
+            if local.over and submitted_at < submitted_before:
+                self._forget(job)
+
+    def stop(self) -> None:
+        """Ends all work."""
+        for local in list(self._job_by_id.values()):
+            local.finish()
+        self._controls.shutdown()
+
+    def _head(self, job: str) -> StoredHead:
+        """Returns a job's head, which may be a second old."""
+        now = self._clock.monotonic()
+        known = self._head_by_id.get(job)
+        if known is not None and now < known[1] + HEAD_FRESH_S:
+            return known[0]
+        try:
+            stored = self._store.head(job, now + STORE_TIMEOUT_S)
+        except StoreError as error:
+            if known is not None:
+                return known[0]
+            raise _unavailable(error) from error
+        if stored is None:
+            raise HibiscusError(ErrorKind.NOT_FOUND, f"No job {job}.")
+        self._head_by_id[job] = (stored, now)
+        return stored
+
+    def _holder(self, head: JobHead) -> Member | None:
+        """Returns a job's holder if it is another instance that lives."""
+        member = self._instances.members().get(head["holder"])
+        own = self._instances.member.name
+        if member is None or member.name == own:
+            return None
+        return member if member.term == head["term"] else None
+
+    def _forget(self, job: str) -> None:
+        with self._lock:
+            self._job_by_id.pop(job, None)
+        self._head_by_id.pop(job, None)
+
+    def _serve_results(self, body: bytes) -> bytes:
+        call = msgspec.msgpack.decode(body, type=_ReadCall)
+        results = self._local_results(call.job, call.after, call.wait_s)
+        if results is None:
+            raise _not_holder(call.job)
+        return msgspec.msgpack.encode(results)
+
+    def _serve_item(self, body: bytes) -> bytes:
+        call = msgspec.msgpack.decode(body, type=_ItemCall)
+        local = self._job_by_id.get(call.job)
+        if local is None:
+            raise _not_holder(call.job)
+        return _body_of(local.contents, call.item)
+
+    def _serve_end(self, body: bytes) -> bytes:
+        job = msgspec.msgpack.decode(body, type=str)
+        local = self._job_by_id.get(job)
+        if local is None:
+            raise _not_holder(job)
+        self._end_here(job, local)
+        return b""
+
+    def _serve_holds(self, body: bytes) -> bytes:
+        job = msgspec.msgpack.decode(body, type=str)
+        local = self._job_by_id.get(job)
+        return msgspec.msgpack.encode(local is not None and not local.over)
+
+    def _serve_adopt(self, body: bytes) -> bytes:
+        call = msgspec.msgpack.decode(body, type=_Adoption)
+        try:
+            taken = self.adopt(call.job, call.made_by_name)
+        except StoreError as error:
+            raise _unavailable(error) from error
+        return msgspec.msgpack.encode(taken)
+
+
+def _unavailable(error: StoreError) -> HibiscusError:
+    return HibiscusError(
+        ErrorKind.STORE_UNAVAILABLE, f"The store gave no answer: {error}"
+    )
+
+
+def _not_holder(job: str) -> HibiscusError:
+    return HibiscusError(ErrorKind.NOT_HOLDER, f"Job {job} is not held here.")
+
+
+def _body_of(contents: JobContents, item: str) -> bytes:
+    for row in contents.items:
+        if row.name == item:
+            return row.body
+    raise HibiscusError(ErrorKind.NOT_FOUND, f"No item {item}.")
+
+
+def _bounded(rows: Sequence[ItemResult]) -> Sequence[ItemResult]:
+    """Returns as many results as one answer may have, one at least."""
+    size = 0
+    for count, row in enumerate(rows):
+        size += len(row.text)
+        if count and size > RESULT_BYTES:
+            return rows[:count]
+    return rows
--- /dev/null
+++ b/hibiscuspin/tasks/local_job.py
@@ -0,0 +1,492 @@
+"""A batch job that this instance holds: starts samples, lists results.
+
+One control thread owns the job. It starts runs in worker threads, takes
+their ends from a queue, and writes finished results to the store; readers
+see only what is written.
+"""
+
+import queue
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+from typing import NamedTuple
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import job_order, placement, samples
+from hibiscuspin.decisions.placement import TargetView
+from hibiscuspin.decisions.routes import ForwardRoute
+from hibiscuspin.decisions.samples import End, Next
+from hibiscuspin.edges import StoreError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.tasks.discovered import DiscoveredTargets
+from hibiscuspin.tasks.job_store import (
+    FencedError,
+    ItemResult,
+    JobContents,
+    JobStore,
+    StoredHead,
+)
+from hibiscuspin.tasks.sample_runs import RunLimits, Sample, SampleRun
+
+__all__ = ["JobTools", "LocalJob"]
+
+TICK_S = 0.04
+# The trainer's end must reach the holder well before 3 s.
+VERIFY_PERIOD_S = 1.0
+COMMIT_TIMEOUT_S = 2.0
+COMMIT_RETRY_S = 0.1
+MOVE_PERIOD_S = 0.25
+MAX_MOVES = 2
+# Results are on time until this long after the due moment.
+DUE_GRACE_S = 0.5
+
+_log = get_logger("rollouts")
+
+
+class JobTools(NamedTuple):
+    """What all jobs of an instance share.
+
+    Attributes:
+        store: Where results are kept.
+        targets: The targets.
+        runs: The worker threads of runs.
+        route_of: Returns a job's route and service; None if it is gone.
+        clock: The time.
+    """
+
+    store: JobStore
+    targets: DiscoveredTargets
+    runs: Executor
+    route_of: Callable[[JobContents], tuple[ForwardRoute, str] | None]
+    clock: Clock
+
+
+class _Chunk(NamedTuple):
+    """Results that a write was tried for; its content does not change."""
+
+    first: int
+    results: tuple[ItemResult, ...]
+    done: bool
+
+
+class _Ended(NamedTuple):
+    run: SampleRun
+    end: End
+
+
+class LocalJob:
+    """A job from its acceptance or takeover until it ends or moves on."""
+
+    def __init__(
+        self,
+        contents: JobContents,
+        stored: StoredHead,
+        listed: Sequence[ItemResult],
+        route: ForwardRoute,
+        tools: JobTools,
+        made_by_name: dict[str, list[samples.Made]] | None = None,
+    ) -> None:
+        self.contents = contents
+        self.stored = stored
+        self._route = route
+        self._tools = tools
+        self._clock = tools.clock
+        self._changed = threading.Condition()
+        self._listed = list(listed)
+        self._finished: list[ItemResult] = []
+        self._finished_since = 0.0
+        self._chunk: _Chunk | None = None
+        self._over = threading.Event()
+        self._paused = False
+        self._fenced = False
+        self._ended: queue.SimpleQueue[_Ended | None] = queue.SimpleQueue()
+        age_s = max(0.0, self._clock.wall() - stored.head["submitted_at"])
+        submitted = self._clock.monotonic() - age_s
+        self._due_at = submitted + route.result_due_s + DUE_GRACE_S
+        self._given_up_at = submitted + route.keep_s
+        self._committed_at = 0.0
+        self._retry_at = 0.0
+        self._verified_at = self._clock.monotonic()
+        self._moved_at = 0.0
+        self._moves_by_place: dict[int, int] = {}
+        self._home_by_group: dict[str, str] = {}
+        self._samples = self._unlisted(made_by_name or {})
+        self._left_by_group: dict[str, int] = {}
+        for sample in self._samples:
+            group = sample.item.group
+            self._left_by_group[group] = self._left_by_group.get(group, 0) + 1
+
+    def _unlisted(
+        self, made_by_name: dict[str, list[samples.Made]]
+    ) -> list[Sample]:
+        names = {result.name for result in self._listed}
+        rows = []
+        for place, item in enumerate(self.contents.items):
+            if item.name in names:
+                continue
+            sample = Sample(place, item)
+            sample.made = list(made_by_name.get(item.name, ()))
+            rows.append(sample)
+        return rows
+
+    @property
+    def over(self) -> bool:
+        """Whether no run of this job is wanted here any more."""
+        return self._over.is_set()
+
+    @property
+    def done(self) -> bool:
+        """Whether all results are listed."""
+        return len(self._listed) == len(self.contents.items)
+
+    def results(
+        self, after: int, wait_until: float
+    ) -> tuple[list[ItemResult], bool]:
+        """Returns the results from a position on, waiting for one.
+
+        Returns:
+            The results, and whether this instance still holds the job.
+        """
+        with self._changed:
+            while len(self._listed) <= after and not self.over:
+                left_s = wait_until - self._clock.monotonic()
+                if left_s <= 0:
+                    break
+                self._changed.wait(left_s)
+            # A write without an answer may have listed more than is known.
+            holds = not self.over or (not self._fenced and not self._chunk)
+            return self._listed[after:], holds
+
+    def run(self) -> None:
+        """Controls the job until it is done, ended or fenced."""
+        try:
+            while not self.over:
+                self._take_ends()
+                if self.over:
+                    break
+                now = self._clock.monotonic()
+                if now >= self._given_up_at:
+                    self._give_up_rest("its time is over")
+                if not self._paused:
+                    self._start_samples(now)
+                    self._move_stragglers(now)
+                    self._commit(now)
+                self._verify(now)
+                if self.done:
+                    break
+        except FencedError as fenced:
+            self._fence(fenced.current)
+        finally:
+            self.finish()
+
+    def finish(self) -> None:
+        """Ends all runs and wakes the readers."""
+        self._over.set()
+        for sample in self._samples:
+            run = sample.run
+            if run is not None:
+                run.moved.set()
+        with self._changed:
+            self._changed.notify_all()
+        self._ended.put(None)
+
+    def pause(self) -> dict[str, list[samples.Made]]:
+        """Stops all work for a handover.
+
+        Returns:
+            The events of unfinished samples by item.
+        """
+        self._paused = True
+        self._fenced = True
+        self.finish()
+        return {
+            sample.item.name: list(sample.made)
+            for sample in self._samples
+            if sample.made
+        }
+
+    def _fence(self, current: StoredHead | None) -> None:
+        self._fenced = True
+        if current is not None:
+            self.stored = current
+        head = current.head if current else None
+        _log.info(
+            "Job left.",
+            extra={
+                "job": self.contents.job,
+                "ended": bool(head and head["ended"]),
+                "holder": head["holder"] if head else "",
+                "listed": len(self._listed),
+            },
+        )
+
+    def _take_ends(self) -> None:
+        """Waits for a tick, or for the end of runs."""
+        try:
+            row = self._ended.get(timeout=TICK_S)
+            while row is not None:
+                self._take_end(row.run, row.end)
+                row = self._ended.get_nowait()
+        except queue.Empty:
+            return
+
+    def _take_end(self, run: SampleRun, end: End) -> None:
+        sample = run.sample
+        sample.run = None
+        if self._over.is_set():
+            return
+        sample.errors += end is End.ERROR
+        step = samples.after_run(end, sample.errors, self._route.max_attempts)
+        if end is not End.WHOLE:
+            sample.avoid = {run.target.name}
+            _log.info(
+                "Sample's run ended.",
+                extra={
+                    "job": self.contents.job,
+                    "request_id": sample.item.name,
+                    "target": run.target.name,
+                    "end": end.name,
+                    "events": len(sample.made),
+                    "next": step.name,
+                    "reason": run.detail,
+                },
+            )
+        if step is Next.LIST:
+            text = "\n".join(event.data for event in sample.made)
+            versions = samples.versions_of(sample.made)
+            result = ItemResult(sample.item.name, True, text, versions)
+            self._finish_sample(sample, result)
+        elif step is Next.GIVE_UP:
+            result = ItemResult(sample.item.name, False, "", ())
+            self._finish_sample(sample, result)
+
+    def _finish_sample(self, sample: Sample, result: ItemResult) -> None:
+        sample.finished = True
+        if not self._finished:
+            self._finished_since = self._clock.monotonic()
+        self._finished.append(result)
+        self._left_by_group[sample.item.group] -= 1
+
+    def _give_up_rest(self, reason: str) -> None:
+        for sample in self._samples:
+            if sample.finished:
+                continue
+            if sample.run is not None:
+                sample.run.moved.set()
+                sample.run = None
+            result = ItemResult(sample.item.name, False, "", ())
+            self._finish_sample(sample, result)
+            _log.info(
+                "Sample given up.",
+                extra={
+                    "job": self.contents.job,
+                    "request_id": sample.item.name,
+                    "reason": reason,
+                },
+            )
+
+    def _start_samples(self, now: float) -> None:
+        waiting = [
+            sample
+            for sample in self._samples
+            if not sample.finished and sample.run is None
+        ]
+        if not waiting:
+            return
+        found = self._tools.route_of(self.contents)
+        if found is None:
+            self._give_up_rest("its route is gone")
+            return
+        self._route, service = found
+        views = self._tools.targets.views(service, self.contents.model)
+        views_by_name = {view.name: view for view in views}
+        by_place = {sample.place: sample for sample in waiting}
+        for place in self._order(waiting, views, now):
+            view = self._place(by_place[place], views_by_name, now)
+            if view is None:
+                break
+            self._start(by_place[place], view)
+            views_by_name[view.name] = view._replace(
+                open_here=view.open_here + 1
+            )
+
+    def _order(
+        self, waiting: Sequence[Sample], views: Sequence[TargetView], now: float
+    ) -> list[int]:
+        sizes = [
+            job_order.SampleSize(s.place, s.item.group, s.events_left)
+            for s in waiting
+        ]
+        events_per_s = sum(
+            view.slots / max(view.event_s, 0.001)
+            for view in views
+            if view.rests_until <= now
+        )
+        return job_order.start_order(sizes, events_per_s, self._due_at - now)
+
+    def _place(
+        self,
+        sample: Sample,
+        views_by_name: dict[str, TargetView],
+        now: float,
+    ) -> TargetView | None:
+        group = sample.item.group
+        need = placement.SampleNeed(
+            self.contents.oldest_version,
+            sample.events_left,
+            self._home_by_group.get(group, ""),
+            sample.avoid,
+        )
+        view = placement.place_sample(list(views_by_name.values()), need, now)
+        if view is not None:
+            self._home_by_group[group] = view.name
+        return view
+
+    def _start(self, sample: Sample, view: TargetView) -> None:
+        target = self._tools.targets.get(view.name)
+        if target is None:
+            return
+        limits = RunLimits(
+            self.contents.host,
+            self.contents.model,
+            self.contents.oldest_version,
+            self._route.single_version,
+            self._given_up_at,
+            self._over.is_set,
+        )
+        run = SampleRun(
+            sample, target, self._tools.targets, limits, self._clock
+        )
+        sample.run = run
+        self._tools.targets.begin(target)
+        self._tools.runs.submit(self._work, run)
+
+    def _work(self, run: SampleRun) -> None:
+        try:
+            end = run.run()
+        except Exception:
+            _log.exception("Run failed.")
+            end = End.BROKEN
+        if run.sample.run is run:
+            self._ended.put(_Ended(run, end))
+
+    def _move_stragglers(self, now: float) -> None:
+        if now - self._moved_at < MOVE_PERIOD_S:
+            return
+        self._moved_at = now
+        running = [s for s in self._samples if s.run is not None]
+        if not running or any(
+            s.run is None and not s.finished for s in self._samples
+        ):
+            return
+        found = self._tools.route_of(self.contents)
+        if found is None:
+            return
+        views = self._tools.targets.views(found[1], self.contents.model)
+        free = [v for v in views if v.free > 0 and v.rests_until <= now]
+        if not free:
+            return
+        best = min(view.event_s for view in free)
+        places = sum(
+            view.free
+            for view in free
+            if view.event_s * samples.SLOW_FACTOR <= best * 2
+        )
+        pace_by_name = {view.name: view.event_s for view in views}
+        rows = [
+            samples.Straggler(
+                s.place,
+                s.events_left,
+                pace_by_name.get(s.run.target.name, best),
+            )
+            for s in running
+            if s.run is not None
+            and self._moves_by_place.get(s.place, 0) < MAX_MOVES
+        ]
+        by_place = {s.place: s for s in running}
+        for place in samples.stragglers(rows, best, places):
+            run = by_place[place].run
+            if run is not None:
+                moves = self._moves_by_place.get(place, 0)
+                self._moves_by_place[place] = moves + 1
+                run.moved.set()
+
+    def _commit(self, now: float) -> None:
+        if self._chunk is None:
+            self._chunk = self._next_chunk(now)
+        if self._chunk is None or now < self._retry_at:
+            return
+        chunk = self._chunk
+        try:
+            self.stored = self._tools.store.add_results(
+                self.contents.job,
+                self.stored,
+                chunk.first,
+                chunk.results,
+                chunk.done,
+                now + COMMIT_TIMEOUT_S,
+            )
+        except StoreError as error:
+            self._retry_at = self._clock.monotonic() + COMMIT_RETRY_S
+            _log.info(
+                "Results not written yet.",
+                extra={
+                    "job": self.contents.job,
+                    "first": chunk.first,
+                    "reason": str(error),
+                },
+            )
+            return
+        self._chunk = None
+        self._committed_at = self._verified_at = self._clock.monotonic()
+        with self._changed:
+            self._listed += chunk.results
+            self._changed.notify_all()
+
+    def _next_chunk(self, now: float) -> _Chunk | None:
+        finished = self._finished
+        last = all(sample.finished for sample in self._samples)
+        whole = any(left == 0 for left in self._left_by_group.values())
+        waiting = job_order.Waiting(
+            len(finished),
+            sum(len(result.text) for result in finished),
+            self._finished_since,
+            whole,
+            last,
+        )
+        if not job_order.commit_due(waiting, self._committed_at, now):
+            return None
+        results, rest = self._split(finished)
+        self._finished = rest
+        self._finished_since = now
+        self._left_by_group = {
+            group: left for group, left in self._left_by_group.items() if left
+        }
+        return _Chunk(len(self._listed), results, last and not rest)
+
+    def _split(
+        self, finished: list[ItemResult]
+    ) -> tuple[tuple[ItemResult, ...], list[ItemResult]]:
+        """Splits off as many results as one write may have."""
+        size = 0
+        for count, result in enumerate(finished):
+            size += len(result.text)
+            if size > job_order.COMMIT_BYTES and count:
+                return tuple(finished[:count]), finished[count:]
+        return tuple(finished), []
+
+    def _verify(self, now: float) -> None:
+        """Finds out whether the job was ended or taken over elsewhere."""
+        if now - self._verified_at < VERIFY_PERIOD_S:
+            return
+        self._verified_at = now
+        job = self.contents.job
+        try:
+            current = self._tools.store.head(job, now + COMMIT_TIMEOUT_S)
+        except StoreError:
+            return
+        if current is None or current.revision != self.stored.revision:
+            if self._chunk is not None and self._chunk.done and current:
+                # The last write may have changed the head without an answer.
+                return
+            raise FencedError(current)
--- /dev/null
+++ b/hibiscuspin/tasks/prefix_watcher.py
@@ -0,0 +1,121 @@
+"""Keeps a copy of all keys under a prefix of the store."""
+
+import random
+import threading
+from collections.abc import Callable, Mapping
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.edges import StoreError
+from hibiscuspin.edges.transactions import (
+    HistoryLostError,
+    Scan,
+    StoredValue,
+    TransactionStore,
+    Watched,
+)
+from hibiscuspin.logs import get_logger
+
+__all__ = ["PrefixWatcher"]
+
+# A waiting watch is one call, so long waits are cheap; keep-alive probes
+# find a silent connection earlier.
+WATCH_S = 20.0
+CALL_TIMEOUT_S = 3.0
+# While watches fail, the prefix is read once a second.
+RETRY_S = 0.9
+
+Listener = Callable[[Mapping[str, StoredValue]], None]
+
+_log = get_logger("store")
+
+
+class PrefixWatcher:
+    """Tells a listener all values whenever one changes; a supervised task."""
+
+    def __init__(
+        self,
+        prefix: str,
+        store: TransactionStore,
+        clock: Clock,
+        draw: random.Random,
+        listener: Listener,
+    ) -> None:
+        self.name = f"watch {prefix}"
+        self._prefix = prefix
+        self._store = store
+        self._clock = clock
+        self._draw = draw
+        self._listener = listener
+        self._values_by_key: dict[str, StoredValue] = {}
+        self._current = threading.Event()
+
+    @property
+    def current(self) -> bool:
+        """Whether the copy was read and no later call has failed."""
+        return self._current.is_set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Watches until `stop` is set."""
+        revision: int | None = None
+        while not stop.is_set():
+            try:
+                if revision is None:
+                    revision = self._scan()
+                revision = self._watch(revision)
+            except HistoryLostError:
+                _log.info("History lost.", extra={"prefix": self._prefix})
+                revision = None
+            except StoreError as error:
+                self._lose(str(error))
+                revision = self._rescan()
+                stop.wait(RETRY_S * self._draw.uniform(0.8, 1.2))
+
+    def _rescan(self) -> int | None:
+        try:
+            return self._scan()
+        except StoreError as error:
+            self._lose(str(error))
+            return None
+
+    def _scan(self) -> int:
+        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        scan = self._store.scan(self._prefix, deadline)
+        self._current.set()
+        if self._take_scan(scan):
+            self._listener(dict(self._values_by_key))
+        return scan.revision
+
+    def _watch(self, revision: int) -> int:
+        deadline = self._clock.monotonic() + WATCH_S + CALL_TIMEOUT_S
+        watched = self._store.watch(self._prefix, revision, WATCH_S, deadline)
+        self._current.set()
+        if self._take_changes(watched):
+            self._listener(dict(self._values_by_key))
+        return watched.revision
+
+    def _take_scan(self, scan: Scan) -> bool:
+        values = {value.key: value for value in scan.values}
+        changed = values != self._values_by_key
+        self._values_by_key = values
+        return changed
+
+    def _take_changes(self, watched: Watched) -> bool:
+        changed = False
+        for change in watched.changes:
+            known = self._values_by_key.get(change.key)
+            if known is not None and known.revision >= change.revision:
+                continue
+            changed = True
+            if change.value is None:
+                self._values_by_key.pop(change.key, None)
+            else:
+                self._values_by_key[change.key] = change.value
+        return changed
+
+    def _lose(self, reason: str) -> None:
+        if self._current.is_set():
+            _log.warning(
+                "Watch lost.",
+                extra={"prefix": self._prefix, "reason": reason},
+            )
+        self._current.clear()
--- /dev/null
+++ b/hibiscuspin/tasks/route_table.py
@@ -0,0 +1,113 @@
+"""The operators' routes in force on this instance."""
+
+import random
+import threading
+from collections.abc import Mapping
+
+from hibiscuspin.decisions import routes
+from hibiscuspin.decisions.routes import CallKind, ForwardRoute, RouteTable
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.tasks.job_store import JobContents
+
+__all__ = ["Routes"]
+
+_log = get_logger("config")
+
+
+class Routes:
+    """Holds the newest table; never goes back to an older one."""
+
+    def __init__(self, draw: random.Random) -> None:
+        self._draw = draw
+        self._lock = threading.Lock()
+        self._table: RouteTable | None = None
+        self._version_by_model: dict[str, int] = {}
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The table in force, or None before the first."""
+        return self._table
+
+    def take(self, table: RouteTable) -> bool:
+        """Puts a table in force; returns False if it is not newer."""
+        with self._lock:
+            known = self._table
+            if known is not None and table.version <= known.version:
+                return False
+            self._table = table
+        _log.info(
+            "Configuration in force.",
+            extra={
+                "version": table.version,
+                "before": known.version if known else 0,
+                "hosts": len(table.routes_by_host),
+            },
+        )
+        return True
+
+    def take_versions(self, version_by_model: Mapping[str, int]) -> None:
+        """Takes the versions that trainers have named."""
+        for model, version in version_by_model.items():
+            known = self._version_by_model.get(model, 0)
+            if version > known:
+                self._version_by_model[model] = version
+                _log.info(
+                    "Version named.",
+                    extra={"model": model, "version": version},
+                )
+
+    def wanted_by_model(self) -> dict[str, int]:
+        """Returns the newest version that was named for each model."""
+        return dict(self._version_by_model)
+
+    def find(self, host: str, path: str, current: bool) -> ForwardRoute:
+        """Returns the route of a request.
+
+        Args:
+            host: The host that it names.
+            path: Its path without the query.
+            current: Whether the table is known to be the newest.
+
+        Raises:
+            HibiscusError: `NOT_FOUND` only if the table is current.
+        """
+        table = self._table
+        if table is None:
+            raise HibiscusError(
+                ErrorKind.NOT_CONFIGURED, "No configuration is known yet."
+            )
+        route = routes.find(table, host, path)
+        if route is not None:
+            return route
+        if not current:
+            raise HibiscusError(
+                ErrorKind.NOT_CONFIGURED, "The configuration may be old."
+            )
+        raise HibiscusError(ErrorKind.NOT_FOUND, "No route has this path.")
+
+    def service_of(self, route: ForwardRoute) -> str:
+        """Returns the service that serves a request of a route."""
+        return routes.pick_service(route, self._draw)
+
+    def of_job(self, contents: JobContents) -> tuple[ForwardRoute, str] | None:
+        """Returns a job's route and service; None if the route is gone."""
+        table = self._table
+        if table is None:
+            return None
+        route = routes.find(table, contents.host, contents.path)
+        if route is None:
+            return None
+        return route, routes.pick_service(route, self._draw)
+
+    def single_version(self, service: str) -> bool:
+        """Tells whether samples of a service must have one version only."""
+        table = self._table
+        if table is None:
+            return False
+        return any(
+            route.single_version and service in route.weight_by_service
+            for rows in table.routes_by_host.values()
+            for route in rows
+            if route.kind is CallKind.JOB
+        )
--- /dev/null
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -0,0 +1,184 @@
+"""Runs one sample at one target, in a worker thread."""
+
+import threading
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions.samples import End, Made, kept_events
+from hibiscuspin.edges import TargetError, Wait
+from hibiscuspin.edges.discovery import Event, EventStream, PassedCall
+from hibiscuspin.logs import get_logger
+from hibiscuspin.tasks.discovered import DiscoveredTargets, Target
+from hibiscuspin.tasks.job_store import JobItem
+
+__all__ = ["RunLimits", "Sample", "SampleRun"]
+
+# A load of weights pauses an engine for 0.9 s at full speed.
+STALL_S = 1.6
+# The queue of a full engine is short of one sample's time.
+FIRST_EVENT_S = 2.0
+# Events come every 40 ms; reading several at once saves processor time.
+GATHER_S = 0.08
+EVENTS_FOR_PACE = 4
+
+_log = get_logger("rollouts")
+
+
+class Sample:
+    """An item of a job, and the events that there are of it."""
+
+    def __init__(self, place: int, item: JobItem) -> None:
+        self.place = place
+        self.item = item
+        self.made: list[Made] = []
+        self.errors = 0
+        self.avoid: set[str] = set()
+        self.run: SampleRun | None = None
+        self.finished = False
+
+    @property
+    def events_left(self) -> float:
+        """Returns how many events are still expected of it."""
+        return max(1.0, self.item.events - len(self.made))
+
+
+class RunLimits(NamedTuple):
+    """What holds for all runs of a job.
+
+    Attributes:
+        host: The host that engines are told.
+        model: The model.
+        oldest_version: The oldest weights that may make a sample.
+        single_version: Whether a sample must have one version only.
+        deadline: When samples are given up.
+        over: Whether the job needs no more runs.
+    """
+
+    host: str
+    model: str
+    oldest_version: int
+    single_version: bool
+    deadline: float
+    over: Callable[[], bool]
+
+
+class _StoppedError(Exception):
+    """The run is not wanted any more."""
+
+
+class SampleRun:
+    """One run; `move` ends it so that the sample goes on elsewhere."""
+
+    def __init__(
+        self,
+        sample: Sample,
+        target: Target,
+        targets: DiscoveredTargets,
+        limits: RunLimits,
+        clock: Clock,
+    ) -> None:
+        self.sample = sample
+        self.target = target
+        self.moved = threading.Event()
+        self._targets = targets
+        self._limits = limits
+        self._clock = clock
+        self.detail = ""
+
+    def run(self) -> End:
+        """Adds events to the sample until the run ends."""
+        try:
+            return self._run()
+        except _StoppedError:
+            return End.MOVED
+        except TargetError as error:
+            return self._after_error(error)
+        finally:
+            self._targets.end(self.target)
+
+    def _run(self) -> End:
+        sample = self.sample
+        limits = self._limits
+        version = self.target.version(limits.model)
+        sample.made = kept_events(
+            sample.made, limits.oldest_version, version, limits.single_version
+        )
+        after = sample.made[-1].number if sample.made else 0
+        stream = self.target.calls.open(
+            self._call(), after, self._wait(FIRST_EVENT_S)
+        )
+        try:
+            return self._read(stream)
+        finally:
+            stream.close()
+
+    def _call(self) -> PassedCall:
+        item = self.sample.item
+        headers: Mapping[str, str] = {**item.headers, "Host": self._limits.host}
+        return PassedCall(item.name, "POST", item.target, headers, item.body)
+
+    def _wait(self, stall_s: float) -> Wait:
+        return Wait(self._limits.deadline, stall_s, self._check)
+
+    def _check(self) -> None:
+        if self.moved.is_set() or self._limits.over():
+            raise _StoppedError
+
+    def _read(self, stream: EventStream) -> End:
+        made = self.sample.made
+        first_at = 0.0
+        first_count = len(made)
+        stall_s = FIRST_EVENT_S
+        while True:
+            self._check()
+            events = stream.read(self._wait(stall_s))
+            now = self._clock.monotonic()
+            if not events:
+                break
+            for event in events:
+                if not self._take(event):
+                    return End.OUTDATED
+            if not first_at:
+                first_at, first_count = now, len(made)
+                stall_s = STALL_S
+            self.moved.wait(GATHER_S)
+        count = len(made) - first_count
+        pace = (now - first_at) / count if count >= EVENTS_FOR_PACE else None
+        self._targets.succeeded(self.target, event_s=pace)
+        return End.WHOLE if made else End.BROKEN
+
+    def _take(self, event: Event) -> bool:
+        """Adds an event; returns False if its weights don't fit."""
+        limits = self._limits
+        made = self.sample.made
+        expected = made[-1].number + 1 if made else event.number
+        if event.number is None or event.number != expected:
+            raise TargetError(
+                f"event {event.number} in place of {expected}", sent=True
+            )
+        old = event.version < limits.oldest_version
+        mixed = limits.single_version and any(
+            known.version != event.version for known in made[-1:]
+        )
+        if old or mixed:
+            made.clear()
+            self.detail = f"version {event.version}"
+            return False
+        made.append(Made(event.number, event.data, event.version))
+        return True
+
+    def _after_error(self, error: TargetError) -> End:
+        self.detail = str(error)
+        if error.draining:
+            self._targets.misdirected(self.target)
+            return End.REFUSED
+        if error.refused:
+            self._targets.refused(self.target)
+            return End.REFUSED
+        if error.status == 422:
+            return End.IMPOSSIBLE
+        if error.status == 500:
+            return End.ERROR
+        self._targets.failed(self.target, error.silent, str(error))
+        return End.BROKEN
--- /dev/null
+++ b/hibiscuspin/tasks/store_path.py
@@ -0,0 +1,205 @@
+"""The way of calls to the store: directly, or through another instance."""
+
+import threading
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import store_paths
+from hibiscuspin.edges import StoreError, TargetError
+from hibiscuspin.edges.http import HttpClient
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.peers.rpc import PeerCalls, PeerUnreachableError
+from hibiscuspin.settings import Address
+
+__all__ = ["RELAY_METHOD", "StoreCall", "StorePath", "StoreReply"]
+
+RELAY_METHOD = "store"
+# Over the direct timeout of the relay, so that its own verdict comes first.
+RELAY_TIMEOUT_S = 1.0
+# A store that turns an instance away answers so before doing anything.
+TURNED_AWAY = frozenset({429, 503})
+
+_log = get_logger("store")
+
+
+class StoreCall(NamedTuple):
+    """One call as it goes over the wire."""
+
+    method: str
+    target: str
+    body: bytes = b""
+
+
+class StoreReply(NamedTuple):
+    """The store's answer."""
+
+    status: int
+    body: bytes
+
+
+class StorePath:
+    """Sends calls to the store; safe to use from many threads."""
+
+    def __init__(
+        self,
+        address: Address,
+        clock: Clock,
+        peers: PeerCalls,
+        relays: Callable[[], Sequence[str]],
+    ) -> None:
+        self._clock = clock
+        self._peers = peers
+        self._relays = relays
+        self._lock = threading.Lock()
+        self._path = store_paths.DirectPath()
+        self._connect(address)
+
+    def _connect(self, address: Address) -> None:
+        self._address = address
+        self._client = HttpClient(address, self._clock)
+        self._watch_client = HttpClient(address, self._clock, keepalive=True)
+
+    def move(self, address: Address) -> None:
+        """Sends later calls to another address."""
+        if address != self._address:
+            _log.info("Store moved.", extra={"address": str(address)})
+            old = (self._client, self._watch_client)
+            self._connect(address)
+            for client in old:
+                client.drop()
+
+    @property
+    def direct(self) -> bool:
+        """Whether the direct way is used."""
+        return not self._path.failures
+
+    def send(self, call: StoreCall, deadline: float) -> StoreReply:
+        """Sends a call by the ways that may reach the store.
+
+        A call without an answer is sent once more by another way, so that
+        the caller's condition must hold for one of them only.
+
+        Raises:
+            StoreError: No way gave an answer.
+        """
+        relays = self._relays()
+        with self._lock:
+            ways = store_paths.order(
+                self._path, len(relays), self._clock.monotonic()
+            )
+        applied: bool | None = False
+        reason = "deadline passed"
+        for way in ways:
+            if self._clock.monotonic() >= deadline:
+                break
+            try:
+                if way is None:
+                    return self.send_direct(call, deadline)
+                return self._relayed(relays[way], call, deadline)
+            except StoreError as error:
+                reason = str(error)
+                if error.applied is None:
+                    applied = None
+        raise StoreError(reason, applied)
+
+    def send_direct(self, call: StoreCall, deadline: float) -> StoreReply:
+        """Sends a call directly, and records whether that works.
+
+        Raises:
+            StoreError: There was no answer, or the store turned it away.
+        """
+        now = self._clock.monotonic()
+        end = min(deadline, now + store_paths.DIRECT_TIMEOUT_S)
+        try:
+            answer = self._client.request(
+                call.method, call.target, end, body=call.body or None
+            )
+        except TargetError as error:
+            if error.silent:
+                self._client.drop()
+            self._record(False, str(error))
+            applied = None if error.sent else False
+            raise StoreError(str(error), applied) from error
+        if answer.status in TURNED_AWAY:
+            self._record(False, f"status {answer.status}")
+            raise StoreError(f"store answered {answer.status}", False)
+        self._record(True, "")
+        if answer.status >= 500:
+            raise StoreError(f"store answered {answer.status}", None)
+        return StoreReply(answer.status, answer.body)
+
+    def wait(self, call: StoreCall, deadline: float) -> StoreReply:
+        """Sends a call that the store holds back, directly.
+
+        Raises:
+            StoreError: There was no answer, or the direct way is avoided.
+        """
+        try:
+            answer = self._watch_client.request(
+                call.method, call.target, deadline, check=self._check_direct
+            )
+        except TargetError as error:
+            self._watch_client.drop()
+            raise StoreError(str(error), False) from error
+        if answer.status in TURNED_AWAY or answer.status >= 500:
+            raise StoreError(f"store answered {answer.status}", False)
+        return StoreReply(answer.status, answer.body)
+
+    def serve_relay(self, body: bytes) -> bytes:
+        """Passes on a call of another instance."""
+        method, target, call_body = msgspec.msgpack.decode(
+            body, type=tuple[str, str, bytes]
+        )
+        now = self._clock.monotonic()
+        if now < self._path.avoid_until:
+            raise HibiscusError(
+                ErrorKind.STORE_UNAVAILABLE, "This instance is cut off too."
+            )
+        call = StoreCall(method, target, call_body)
+        try:
+            reply = self.send_direct(call, now + store_paths.DIRECT_TIMEOUT_S)
+        except StoreError as error:
+            kind = (
+                ErrorKind.OUTCOME_UNKNOWN
+                if error.applied is None
+                else ErrorKind.STORE_UNAVAILABLE
+            )
+            raise HibiscusError(kind, str(error)) from error
+        return msgspec.msgpack.encode(reply)
+
+    def _relayed(
+        self, address: str, call: StoreCall, deadline: float
+    ) -> StoreReply:
+        left_s = deadline - self._clock.monotonic()
+        try:
+            body = self._peers.call(
+                address,
+                RELAY_METHOD,
+                msgspec.msgpack.encode(call),
+                min(left_s, RELAY_TIMEOUT_S),
+            )
+        except PeerUnreachableError as error:
+            raise StoreError(f"relay: {error}", None) from error
+        except HibiscusError as error:
+            unknown = error.kind is not ErrorKind.STORE_UNAVAILABLE
+            applied = None if unknown else False
+            raise StoreError(f"relay: {error}", applied) from error
+        return msgspec.msgpack.decode(body, type=StoreReply)
+
+    def _check_direct(self) -> None:
+        if self._path.failures:
+            raise TargetError("the direct way fails", sent=True, silent=True)
+
+    def _record(self, ok: bool, reason: str) -> None:
+        now = self._clock.monotonic()
+        with self._lock:
+            before = self._path.failures
+            self._path = store_paths.after_direct(self._path, ok, now)
+        if ok and before:
+            _log.info("Store regained.", extra={"failures": before})
+        elif not ok and not before:
+            _log.warning("Store lost.", extra={"reason": reason})
--- /dev/null
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -0,0 +1,181 @@
+"""Passes streams on to callers, over the loss of a target where allowed."""
+
+from collections.abc import Iterator, Sequence
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import placement
+from hibiscuspin.edges import TargetError, Wait
+from hibiscuspin.edges.discovery import Event, EventStream
+from hibiscuspin.errors import ErrorKind, HibiscusError, Ran
+from hibiscuspin.logs import get_logger
+from hibiscuspin.tasks.discovered import DiscoveredTargets, Target
+from hibiscuspin.tasks.forwarding import ForwardedCall
+
+__all__ = ["StreamForwarder"]
+
+# Clients leave after a gap of two seconds.
+STALL_S = 1.2
+
+_log = get_logger("live")
+
+
+class _CallerLeftError(Exception):
+    """The caller has closed its connection."""
+
+
+class StreamForwarder:
+    """Serves streaming routes."""
+
+    def __init__(self, targets: DiscoveredTargets, clock: Clock) -> None:
+        self._targets = targets
+        self._clock = clock
+
+    def open(
+        self, call: ForwardedCall
+    ) -> tuple[Sequence[tuple[str, str]], Iterator[bytes]]:
+        """Returns the first target's headers, and the events as they come.
+
+        Raises:
+            HibiscusError: No target began the stream.
+        """
+        stream = _Stream(self._targets, self._clock, call)
+        try:
+            headers = stream.start()
+        except _CallerLeftError:
+            raise HibiscusError(
+                ErrorKind.CANCELLED, "The caller has left."
+            ) from None
+        return headers, stream.parts()
+
+
+class _Stream:
+    def __init__(
+        self, targets: DiscoveredTargets, clock: Clock, call: ForwardedCall
+    ) -> None:
+        self._targets = targets
+        self._clock = clock
+        self._call = call
+        self._tried: list[str] = []
+        self._ran = 0
+        self._last_number = 0
+        self._target: Target | None = None
+        self._events: EventStream | None = None
+
+    def start(self) -> Sequence[tuple[str, str]]:
+        """Opens the stream at a target."""
+        error: TargetError | None = None
+        while self._may_start():
+            view = placement.place_call(
+                self._targets.views(self._call.service),
+                self._tried,
+                self._clock.monotonic(),
+            )
+            target = self._targets.get(view.name) if view else None
+            if view is None or target is None:
+                break
+            self._tried.append(view.name)
+            try:
+                return self._open(target)
+            except TargetError as failure:
+                error = failure
+                self._fail(target, failure)
+        raise self._refusal(error)
+
+    def _may_start(self) -> bool:
+        route = self._call.route
+        most = route.max_attempts if route.resumable else 1
+        in_time = self._clock.monotonic() < self._call.deadline
+        return self._ran < most and in_time
+
+    def _open(self, target: Target) -> Sequence[tuple[str, str]]:
+        self._targets.begin(target)
+        self._ran += 1
+        try:
+            events = target.calls.open(
+                self._call.passed, self._last_number, self._wait()
+            )
+        except BaseException:
+            self._targets.end(target)
+            raise
+        self._target, self._events = target, events
+        return events.headers
+
+    def _wait(self) -> Wait:
+        return Wait(self._call.deadline, STALL_S, self._check)
+
+    def _check(self) -> None:
+        if self._call.disconnected():
+            raise _CallerLeftError
+
+    def _fail(self, target: Target, error: TargetError) -> None:
+        if error.refused or not error.sent:
+            self._ran -= 1
+        if error.draining:
+            self._targets.misdirected(target)
+        elif error.refused:
+            self._targets.refused(target)
+        else:
+            self._targets.failed(target, error.silent, str(error))
+
+    def _refusal(self, error: TargetError | None) -> HibiscusError:
+        if self._ran:
+            return HibiscusError(
+                ErrorKind.TARGET_FAILED, f"The stream failed: {error}"
+            )
+        return HibiscusError(
+            ErrorKind.NO_TARGET, "No target took the stream.", Ran.NO
+        )
+
+    def parts(self) -> Iterator[bytes]:
+        """Yields whole events until the stream's end."""
+        try:
+            while True:
+                try:
+                    events = self._read()
+                except TargetError as error:
+                    self._resume(error)
+                    continue
+                if not events:
+                    return
+                for event in events:
+                    self._last_number = event.number or self._last_number
+                yield b"".join(event.raw for event in events)
+        except _CallerLeftError:
+            _log.info(
+                "Caller left.",
+                extra={"request_id": self._call.passed.request_id},
+            )
+        finally:
+            self._close()
+
+    def _read(self) -> list[Event]:
+        if self._events is None:
+            raise TargetError("no stream", sent=False)
+        return self._events.read(self._wait())
+
+    def _resume(self, error: TargetError) -> None:
+        """Goes on at another target, or raises the error."""
+        if self._target is not None:
+            self._fail(self._target, error)
+        self._close()
+        if not self._call.route.resumable:
+            raise error
+        try:
+            self.start()
+        except HibiscusError:
+            raise error from None
+        _log.info(
+            "Stream resumed.",
+            extra={
+                "request_id": self._call.passed.request_id,
+                "after": self._last_number,
+                "reason": str(error),
+            },
+        )
+
+    def _close(self) -> None:
+        if self._events is not None:
+            self._events.close()
+        if self._target is not None:
+            self._targets.end(self._target)
+        self._target = self._events = None
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from typing import TypedDict
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpClient
 from hibiscuspin.settings import parse_address
@@ -95,7 +96,7 @@
 
     def _fetch(self, version: int, source: str) -> None:
         path = f"/v1/weights/{self._model}/{version}?reader={self._reader}"
-        deadline = time.monotonic() + FETCH_TIMEOUT_S
+        deadline = monotonic() + FETCH_TIMEOUT_S
         size: int | None = None
         try:
             client = HttpClient(parse_address(source))
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Any, NotRequired, TypedDict
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges.wsgi import Request, Response, Route, json_response
 
 __all__ = ["Faults", "FaultSet"]
@@ -99,8 +100,8 @@
     def _hold(
         self, generation: int, start: Any, longest_s: float
     ) -> Iterable[bytes]:
-        end = time.monotonic() + longest_s
-        while time.monotonic() < end:
+        end = monotonic() + longest_s
+        while monotonic() < end:
             with self._lock:
                 if generation != self._generation:
                     break
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -4,8 +4,8 @@
 """
 
 import threading
-import time
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges.wsgi import Request, Response, Route, json_response
 from standins.faults import Faults
 from standins.server import argument_parser, serve
@@ -28,13 +28,13 @@
         )
 
     def _show(self, request: Request) -> Response:
-        now = time.monotonic()
+        now = monotonic()
         with self._lock:
             visible = [value for at, value in self._changes if at <= now]
         return json_response(visible[-1])
 
     def _set(self, request: Request) -> Response:
-        visible_at = time.monotonic() + self._lag_s
+        visible_at = monotonic() + self._lag_s
         with self._lock:
             self._changes.append((visible_at, request.json(dict[str, object])))
         return json_response({})
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,10 +7,10 @@
 import base64
 import secrets
 import threading
-import time
 from collections import Counter
 from typing import Any, NamedTuple
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges.wsgi import Request, Response, Route, json_response
 from standins.faults import Faults
 from standins.server import argument_parser, serve
@@ -65,14 +65,14 @@
         since = int(request.query.get("index", 0))
         wait_s = _seconds(request.query.get("wait", "0s"))
         recurse = "recurse" in request.query
-        end = time.monotonic() + min(wait_s, MAX_WAIT_S)
+        end = monotonic() + min(wait_s, MAX_WAIT_S)
         with self._changed:
             self._calls["watch" if since else "read"] += 1
             while True:
                 self._expire()
                 found = self._find(path, recurse)
                 newest = max((i.modify_index for _, i in found), default=0)
-                left = end - time.monotonic()
+                left = end - monotonic()
                 if not since or newest > since or left <= 0:
                     break
                 self._changed.wait(left)
@@ -156,7 +156,7 @@
         lease = secrets.token_hex(8)
         with self._changed:
             self._calls["write"] += 1
-            expires_at = time.monotonic() + ttl_s
+            expires_at = monotonic() + ttl_s
             self._sessions_by_id[lease] = Session(ttl_s, expires_at)
         return json_response({"ID": lease})
 
@@ -167,7 +167,7 @@
             session = self._sessions_by_id.get(lease)
             if session is None:
                 return json_response([], 404)
-            expires_at = time.monotonic() + session.ttl_s
+            expires_at = monotonic() + session.ttl_s
             renewed = session._replace(expires_at=expires_at)
             self._sessions_by_id[lease] = renewed
         return json_response([{"ID": lease}])
@@ -179,7 +179,7 @@
         return json_response(True)
 
     def _expire(self) -> None:
-        now = time.monotonic()
+        now = monotonic()
         for lease, session in list(self._sessions_by_id.items()):
             if session.expires_at <= now:
                 self._end(lease)
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpClient
 from hibiscuspin.settings import Address
@@ -95,9 +96,9 @@
             while self._submitted < min(last, number + 1 + plan.ahead):
                 self._submit(self._submitted)
                 self._submitted += 1
-            started = time.monotonic()
+            started = monotonic()
             received = self._pull_step(number)
-            idle_s = time.monotonic() - started
+            idle_s = monotonic() - started
             time.sleep(plan.train_s)
             self.records.append(
                 StepRecord(number, idle_s, plan.train_s, received)
@@ -161,15 +162,15 @@
 
     def _call(self, method: str, path: str, body: object = None) -> Any:
         """Asks one instance after another until one does it."""
-        end = time.monotonic() + STEP_TIMEOUT_S
+        end = monotonic() + STEP_TIMEOUT_S
         seen = ""
-        while time.monotonic() < end:
+        while monotonic() < end:
             client = self._clients[0]
             try:
                 answer = client.request(
                     method,
                     self._path + path,
-                    time.monotonic() + CALL_TIMEOUT_S,
+                    monotonic() + CALL_TIMEOUT_S,
                     body=json.dumps(body).encode() if body else None,
                     headers={
                         "Authorization": f"Bearer {self._token}",
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges.wsgi import Request, Response, Route, json_response
 from standins.faults import Faults
 from standins.server import argument_parser, serve
@@ -28,7 +29,7 @@
 
     def _fetch(self, request: Request, model: str, version: str) -> Response:
         with self._lock:
-            now = time.monotonic()
+            now = monotonic()
             self._free_at = max(self._free_at, now)
             self._free_at += self._size_bytes / self._rate_bytes_s
             wait_s = self._free_at - now
