Bound connects, and give out stream lines as they come

A stream's lines came only at its end: the end of a chunk that was still buffered made the reader wait for the next one.

Change: 0.6 s for a connect, no watch while the direct way fails; a buffered chunk end alone does not count as input.

--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -29,12 +29,15 @@
 MAX_LINES = 512
 READ_BYTES = 64 * 1024
 CHECK_PERIOD_S = 0.1
+# A lost first packet is sent again after a second; a new try is sooner.
+CONNECT_TIMEOUT_S = 0.6
 # The other end's clock starts when it sends, this one when it has read.
 IDLE_USE_SHARE = 0.8
 # Two lost probes end a connection whose other end has gone silent.
 PROBE_IDLE_S = 1
 PROBE_PERIOD_S = 1
 PROBE_COUNT = 2
+_CHUNK_END = b"\r\n"
 _IDLE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -251,9 +254,7 @@
         try:
             self.arm(connection, min_s=bound_s, deadline=deadline)
             if connection.raw.sock is None:
-                connection.raw.connect()
-                if self._keepalive and connection.raw.sock is not None:
-                    _probe_when_idle(connection.raw.sock)
+                self._connect(connection, min(bound_s, CONNECT_TIMEOUT_S))
             sent = True
             connection.raw.request(method, path, body, dict(headers or {}))
             if check is not None:
@@ -269,6 +270,16 @@
             raise
         return HttpStream(self, connection, response)
 
+    def _connect(self, connection: _Connection, timeout_s: float) -> None:
+        raw = connection.raw
+        usual_s, raw.timeout = raw.timeout, min(timeout_s, raw.timeout or 0.0)
+        raw.connect()
+        raw.timeout = usual_s
+        if raw.sock is not None:
+            raw.sock.settimeout(usual_s)
+            if self._keepalive:
+                _probe_when_idle(raw.sock)
+
     def arm(
         self, connection: _Connection, *, min_s: float, deadline: float
     ) -> None:
@@ -409,9 +420,12 @@
     if response.fp is None:
         return True
     sock.settimeout(0)
-    buffered = bool(response.fp.peek(1))
+    buffered = response.fp.peek(1)
     sock.settimeout(stall_s)
-    return buffered
+    if response.chunked and response.chunk_left == 0:
+        # The end of the last chunk alone would have a read block for more.
+        return _CHUNK_END in buffered[len(_CHUNK_END) :]
+    return bool(buffered)
 
 
 def _failure(error: Exception, *, sent: bool) -> TargetError:
--- a/hibiscuspin/tasks/store_path.py
+++ b/hibiscuspin/tasks/store_path.py
@@ -139,6 +139,7 @@
             StoreError: There was no answer, or the direct way is avoided.
         """
         try:
+            self._check_direct()
             answer = self._watch_client.request(
                 call.method, call.target, deadline, check=self._check_direct
             )
