Clear engines of samples before they load weights

Hints are in tokens but were taken for events, 57 times too many.

Change: the coordinator has all holders move samples off the engines that load next, orders each, and releases it once it serves the version. Samples go on from the events that they have. Expected events are tokens by stride.

--- a/hibiscuspin/decisions/routes.py
+++ b/hibiscuspin/decisions/routes.py
@@ -73,11 +73,19 @@
 
 
 class RouteTable(NamedTuple):
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes:
+        version: Its version; later ones are higher.
+        routes_by_host: Routes by host, the longest prefix first.
+        limits: Bounds for clients.
+        event_tokens_by_service: How many tokens an event of a stream has.
+    """
 
     version: int
     routes_by_host: Mapping[str, Sequence[ForwardRoute]]
     limits: ClientLimits
+    event_tokens_by_service: Mapping[str, float]
 
 
 def sorted_routes(
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -94,6 +94,7 @@
                 self._targets,
                 self._runs,
                 self._routes.of_job,
+                self._routes.event_tokens,
                 self._clock,
             ),
             self._instances,
@@ -225,6 +226,7 @@
             WeightOrders(
                 self._instances,
                 self._targets,
+                self._jobs,
                 self._routes.wanted_by_model,
                 self._routes.single_version,
                 self._clock,
--- a/hibiscuspin/platform/batches.py
+++ b/hibiscuspin/platform/batches.py
@@ -70,7 +70,7 @@
         headers=headers,
         body=b64decode(raw.get("body") or "", validate=True),
         group=str(raw.get("group") or raw["id"]),
-        events=_expected_tokens(headers),
+        tokens=_expected_tokens(headers),
     )
 
 
--- a/hibiscuspin/platform/operators.py
+++ b/hibiscuspin/platform/operators.py
@@ -54,6 +54,12 @@
             limits["header_timeout_ms"] / MS_PER_S,
             limits["idle_timeout_ms"] / MS_PER_S,
         ),
+        # Tokens between two events, although the word speaks of steps.
+        {
+            row["name"]: float(row["engine"].get("stride") or 1)
+            for row in raw["services"]
+            if row.get("engine")
+        },
     )
 
 
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -42,6 +42,7 @@
         self.open_calls = 0
         self.health = ejection.Health()
         self.rests_until = 0.0
+        self.held_until = 0.0
         self.answer: ewma.Mean | None = None
         self.event: ewma.Mean | None = None
         self.least_version_by_model: dict[str, int] = {}
@@ -165,7 +166,7 @@
                 answer_s=ewma.estimate(target.answer, answer_s, now),
                 event_s=ewma.estimate(target.event, event_s, now),
                 version=target.version(model) if model else 0,
-                rests_until=target.rests_until,
+                rests_until=max(target.rests_until, target.held_until),
             )
             for target in targets
         ]
@@ -237,6 +238,21 @@
             },
         )
 
+    def hold(self, names: Iterable[str], until: float) -> None:
+        """Keeps new work from targets that are about to load weights."""
+        for name in names:
+            target = self._targets_by_name.get(name)
+            if target is not None:
+                target.held_until = until
+
+    def release(self, name: str, model: str, version: int) -> None:
+        """Takes a target that has loaded weights into use again."""
+        target = self._targets_by_name.get(name)
+        if target is not None:
+            target.held_until = 0.0
+            known = target.least_version_by_model.get(model, 0)
+            target.least_version_by_model[model] = max(known, version)
+
     def misdirected(self, target: Target) -> None:
         """Takes a target out whose address belongs to another by now."""
         target.gone = True
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -56,7 +56,7 @@
         headers: Its headers by name.
         body: Its body.
         group: The group of samples that share its prompt.
-        events: How many events its result may have.
+        tokens: How many tokens its result may have.
     """
 
     name: str
@@ -64,7 +64,7 @@
     headers: Mapping[str, str]
     body: bytes
     group: str
-    events: float
+    tokens: float
 
 
 class JobContents(NamedTuple):
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -38,8 +38,14 @@
 HOLDS_METHOD = "jobs.holds"
 ITEM_METHOD = "jobs.item"
 RESULTS_METHOD = "jobs.results"
+CLEAR_METHOD = "targets.clear"
+RELEASE_METHOD = "targets.release"
 
 MAX_JOBS = 64
+CALL_THREADS = 8
+# A run sees within a tenth of a second that it is to move.
+CLEAR_S = 0.25
+CLEAR_TIMEOUT_S = 0.5
 # Trainers send a refused job once more; outages of the store last seconds.
 ACCEPT_TIMEOUT_S = 4.0
 ACCEPT_RETRY_S = 0.1
@@ -74,6 +80,17 @@
     wait_s: float
 
 
+class _ClearCall(NamedTuple):
+    names: list[str]
+    hold_s: float
+
+
+class _ReleaseCall(NamedTuple):
+    name: str
+    model: str
+    version: int
+
+
 class _ItemCall(NamedTuple):
     job: str
     item: str
@@ -97,6 +114,9 @@
         self._job_by_id: dict[str, LocalJob] = {}
         self._head_by_id: dict[str, tuple[StoredHead, float]] = {}
         self._controls = ThreadPoolExecutor(MAX_JOBS, thread_name_prefix="job")
+        self._calls = ThreadPoolExecutor(
+            CALL_THREADS, thread_name_prefix="tell"
+        )
         self._stopping = False
 
     def handlers(self) -> dict[str, Handler]:
@@ -107,6 +127,8 @@
             HOLDS_METHOD: self._serve_holds,
             ITEM_METHOD: self._serve_item,
             RESULTS_METHOD: self._serve_results,
+            CLEAR_METHOD: self._serve_clear,
+            RELEASE_METHOD: self._serve_release,
         }
 
     def submit(
@@ -451,6 +473,50 @@
             return False
         return msgspec.msgpack.decode(body, type=bool)
 
+    def clear(self, names: list[str], hold_s: float) -> None:
+        """Has all holders of jobs move their samples off some targets.
+
+        Args:
+            names: The targets, which are about to load weights.
+            hold_s: How long they get no new samples unless released.
+        """
+        call = msgspec.msgpack.encode(_ClearCall(names, hold_s))
+        self._tell_holders(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
+        self._serve_clear(call)
+
+    def release(self, name: str, model: str, version: int) -> None:
+        """Tells all holders of jobs that a target has loaded weights."""
+        call = msgspec.msgpack.encode(_ReleaseCall(name, model, version))
+        self._tell_holders(RELEASE_METHOD, call, PEER_TIMEOUT_S)
+        self._serve_release(call)
+
+    def _tell_holders(self, method: str, call: bytes, timeout_s: float) -> None:
+        futures = [
+            self._calls.submit(
+                self._peers.call, member.address, method, call, timeout_s
+            )
+            for member in self._instances.others()
+        ]
+        for future in futures:
+            try:
+                future.result()
+            except (PeerUnreachableError, HibiscusError) as error:
+                _log.info("Holder not told.", extra={"reason": str(error)})
+
+    def _serve_clear(self, body: bytes) -> bytes:
+        call = msgspec.msgpack.decode(body, type=_ClearCall)
+        now = self._clock.monotonic()
+        self._tools.targets.hold(call.names, now + call.hold_s)
+        for local in list(self._job_by_id.values()):
+            if not local.over:
+                local.leave_targets(call.names, now + CLEAR_S)
+        return b""
+
+    def _serve_release(self, body: bytes) -> bytes:
+        call = msgspec.msgpack.decode(body, type=_ReleaseCall)
+        self._tools.targets.release(call.name, call.model, call.version)
+        return b""
+
     def forget_older(self, submitted_before: float) -> None:
         """Drops jobs that nobody may ask for any more."""
         for job, local in list(self._job_by_id.items()):
@@ -463,6 +529,7 @@
         for local in list(self._job_by_id.values()):
             local.finish()
         self._controls.shutdown()
+        self._calls.shutdown()
 
     def _head(self, job: str) -> StoredHead:
         """Returns a job's head, which may be a second old."""
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -7,7 +7,8 @@
 
 import queue
 import threading
-from collections.abc import Callable, Sequence
+import time
+from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Executor
 from typing import NamedTuple
 
@@ -37,6 +38,7 @@
 COMMIT_RETRY_S = 0.1
 MOVE_PERIOD_S = 0.25
 MAX_MOVES = 2
+LEAVE_POLL_S = 0.02
 # Results are on time until this long after the due moment.
 DUE_GRACE_S = 0.5
 
@@ -51,6 +53,7 @@
         targets: The targets.
         runs: The worker threads of runs.
         route_of: Returns a job's route and service; None if it is gone.
+        event_tokens: Returns how many tokens an event of a service has.
         clock: The time.
     """
 
@@ -58,6 +61,7 @@
     targets: DiscoveredTargets
     runs: Executor
     route_of: Callable[[JobContents], tuple[ForwardRoute, str] | None]
+    event_tokens: Callable[[str], float]
     clock: Clock
 
 
@@ -99,6 +103,7 @@
         self._over = threading.Event()
         self._paused = False
         self._fenced = False
+        self._event_tokens = 1.0
         self._ended: queue.SimpleQueue[_Ended | None] = queue.SimpleQueue()
         age_s = max(0.0, self._clock.wall() - stored.head["submitted_at"])
         submitted = self._clock.monotonic() - age_s
@@ -190,6 +195,18 @@
             self._changed.notify_all()
         self._ended.put(None)
 
+    def leave_targets(self, names: Collection[str], until: float) -> None:
+        """Moves all samples off some targets, and waits for that."""
+        runs = self._runs_at(names)
+        for run in runs:
+            run.moved.set()
+        while self._runs_at(names) and self._clock.monotonic() < until:
+            time.sleep(LEAVE_POLL_S)
+
+    def _runs_at(self, names: Collection[str]) -> list[SampleRun]:
+        runs = [sample.run for sample in self._samples]
+        return [run for run in runs if run and run.target.name in names]
+
     def pause(self) -> dict[str, list[samples.Made]]:
         """Stops all work for a handover.
 
@@ -298,6 +315,7 @@
             self._give_up_rest("its route is gone")
             return
         self._route, service = found
+        self._event_tokens = self._tools.event_tokens(service)
         views = self._tools.targets.views(service, self.contents.model)
         views_by_name = {view.name: view for view in views}
         by_place = {sample.place: sample for sample in waiting}
@@ -310,11 +328,14 @@
                 open_here=view.open_here + 1
             )
 
+    def _left(self, sample: Sample) -> float:
+        return sample.events_left(self._event_tokens)
+
     def _order(
         self, waiting: Sequence[Sample], views: Sequence[TargetView], now: float
     ) -> list[int]:
         sizes = [
-            job_order.SampleSize(s.place, s.item.group, s.events_left)
+            job_order.SampleSize(s.place, s.item.group, self._left(s))
             for s in waiting
         ]
         events_per_s = sum(
@@ -333,7 +354,7 @@
         group = sample.item.group
         need = placement.SampleNeed(
             self.contents.oldest_version,
-            sample.events_left,
+            self._left(sample),
             self._home_by_group.get(group, ""),
             sample.avoid,
         )
@@ -396,7 +417,7 @@
         rows = [
             samples.Straggler(
                 s.place,
-                s.events_left,
+                self._left(s),
                 pace_by_name.get(s.run.target.name, best),
             )
             for s in running
--- a/hibiscuspin/tasks/route_table.py
+++ b/hibiscuspin/tasks/route_table.py
@@ -100,6 +100,13 @@
             return None
         return route, routes.pick_service(route, self._draw)
 
+    def event_tokens(self, service: str) -> float:
+        """Returns how many tokens an event of a service's streams has."""
+        table = self._table
+        if table is None:
+            return 1.0
+        return table.event_tokens_by_service.get(service, 1.0)
+
     def single_version(self, service: str) -> bool:
         """Tells whether samples of a service must have one version only."""
         table = self._table
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -15,12 +15,13 @@
 __all__ = ["RunLimits", "Sample", "SampleRun"]
 
 # A load of weights pauses an engine for 0.9 s at full speed.
-STALL_S = 1.6
+STALL_S = 1.4
 # The queue of a full engine is short of one sample's time.
-FIRST_EVENT_S = 2.0
+FIRST_EVENT_S = 1.4
 # Events come every 40 ms; reading several at once saves processor time.
 GATHER_S = 0.08
-EVENTS_FOR_PACE = 4
+EVENTS_FOR_PACE = 5
+PACE_PERIOD_S = 0.5
 
 _log = get_logger("rollouts")
 
@@ -37,10 +38,9 @@
         self.run: SampleRun | None = None
         self.finished = False
 
-    @property
-    def events_left(self) -> float:
+    def events_left(self, event_tokens: float) -> float:
         """Returns how many events are still expected of it."""
-        return max(1.0, self.item.events - len(self.made))
+        return max(1.0, self.item.tokens / event_tokens - len(self.made))
 
 
 class RunLimits(NamedTuple):
@@ -127,8 +127,8 @@
 
     def _read(self, stream: EventStream) -> End:
         made = self.sample.made
-        first_at = 0.0
-        first_count = len(made)
+        pace_at = 0.0
+        pace_count = len(made)
         stall_s = FIRST_EVENT_S
         while True:
             self._check()
@@ -139,13 +139,15 @@
             for event in events:
                 if not self._take(event):
                     return End.OUTDATED
-            if not first_at:
-                first_at, first_count = now, len(made)
-                stall_s = STALL_S
+            count = len(made) - pace_count
+            if not pace_at:
+                pace_at, pace_count, stall_s = now, len(made), STALL_S
+            elif count >= EVENTS_FOR_PACE and now - pace_at >= PACE_PERIOD_S:
+                pace = (now - pace_at) / count
+                self._targets.succeeded(self.target, event_s=pace)
+                pace_at, pace_count = now, len(made)
             self.moved.wait(GATHER_S)
-        count = len(made) - first_count
-        pace = (now - first_at) / count if count >= EVENTS_FOR_PACE else None
-        self._targets.succeeded(self.target, event_s=pace)
+        self._targets.succeeded(self.target)
         return End.WHOLE if made else End.BROKEN
 
     def _take(self, event: Event) -> bool:
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -1,21 +1,36 @@
-"""Moves engines to the versions that trainers name; the coordinator's work."""
+"""Moves engines to the versions that trainers name; the coordinator's work.
+
+An engine that is to load is cleared first: its samples go on at other
+engines from the events that they have, and it gets no new ones until it has
+loaded. A run that meets a load would stand still for its whole length.
+"""
 
 import threading
 from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import weight_orders
-from hibiscuspin.decisions.weight_orders import EngineView, Ordered
+from hibiscuspin.decisions.weight_orders import EngineView
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import TargetState, WeightOrder
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.discovered import DiscoveredTargets, Target
 from hibiscuspin.tasks.instances import Instances, Term
+from hibiscuspin.tasks.jobs import Jobs
 
 __all__ = ["WeightOrders"]
 
 TICK_S = 0.05
-CALL_TIMEOUT_S = 0.8
+CALL_TIMEOUT_S = 0.6
+LOAD_THREADS = 32
+# Over a load among others and its checks; then the engine is used again.
+HOLD_S = 2.5
+# A load takes 0.9 s at full speed.
+FIRST_CHECK_S = 0.85
+CHECK_PERIOD_S = 0.1
+# An order without an answer may be carried out this much later.
+LOAD_TIMEOUT_S = 2.4
 
 _log = get_logger("weights")
 
@@ -29,6 +44,7 @@
         self,
         instances: Instances,
         targets: DiscoveredTargets,
+        jobs: Jobs,
         wanted_by_model: Callable[[], Mapping[str, int]],
         finish_first: Callable[[str], bool],
         clock: Clock,
@@ -38,6 +54,7 @@
         Args:
             instances: Tells whether this instance has the duty.
             targets: The engines.
+            jobs: Clears engines of samples.
             wanted_by_model: Returns the newest versions that were named.
             finish_first: Returns whether open generations of a service must
                 end under the weights that they began with.
@@ -45,62 +62,91 @@
         """
         self._instances = instances
         self._targets = targets
+        self._jobs = jobs
         self._wanted_by_model = wanted_by_model
         self._finish_first = finish_first
         self._clock = clock
-        self._ordered_by_name: dict[str, Ordered] = {}
-        self._busy_by_name: dict[str, int] = {}
+        self._loading: set[str] = set()
+        self._loads = ThreadPoolExecutor(
+            LOAD_THREADS, thread_name_prefix="load"
+        )
 
     def run(self, stop: threading.Event) -> None:
         """Orders until `stop` is set."""
         while not stop.wait(TICK_S):
             term = self._instances.term()
-            now = self._clock.monotonic()
-            if term is None:
-                self._ordered_by_name.clear()
-                continue
-            if now < term.orders_from:
+            if term is None or self._clock.monotonic() < term.orders_from:
                 continue
             for model, wanted in self._wanted_by_model().items():
-                self._move(model, wanted, term)
+                self._move(model, wanted, term, stop)
+        self._loads.shutdown()
 
-    def _move(self, model: str, wanted: int, term: Term) -> None:
+    def _move(
+        self, model: str, wanted: int, term: Term, stop: threading.Event
+    ) -> None:
         by_name = {
-            _key(target): target
+            target.name: target
             for target in self._targets.all()
             if model in target.record.version_by_model
             and not target.gone
             and not target.record.draining
         }
         views = [
-            EngineView(
-                name,
-                target.version(model),
-                max(target.open_calls, self._busy_by_name.get(name, 0)),
-            )
+            EngineView(name, target.version(model), target.open_calls)
             for name, target in by_name.items()
         ]
-        now = self._clock.monotonic()
-        due = weight_orders.next_engines(
-            wanted, views, self._ordered_by_name, now
+        names = weight_orders.next_engines(wanted, views, self._loading)
+        if not names:
+            return
+        self._loading.update(names)
+        self._loads.submit(
+            self._clear_and_load, names, model, wanted, term, stop
         )
-        for name in due:
-            self._order(name, by_name[name], model, wanted, term)
 
-    def _order(
-        self, name: str, target: Target, model: str, wanted: int, term: Term
+    def _clear_and_load(
+        self,
+        names: list[str],
+        model: str,
+        wanted: int,
+        term: Term,
+        stop: threading.Event,
     ) -> None:
-        state = self._state(name, target, model)
+        try:
+            self._jobs.clear(names, HOLD_S)
+        except Exception:
+            _log.exception("Engines not cleared.")
+        for name in names:
+            self._loads.submit(self._load, name, model, wanted, term, stop)
+
+    def _load(
+        self,
+        name: str,
+        model: str,
+        wanted: int,
+        term: Term,
+        stop: threading.Event,
+    ) -> None:
+        """Orders one engine and waits until it has loaded."""
+        version = 0
+        try:
+            target = self._targets.get(name)
+            if target is not None and self._order(target, model, wanted, term):
+                version = self._await_load(target, model, wanted, stop)
+        except Exception:
+            _log.exception("Load failed.")
+        finally:
+            self._jobs.release(name, model, version)
+            self._loading.discard(name)
+
+    def _order(
+        self, target: Target, model: str, wanted: int, term: Term
+    ) -> bool:
+        """Gives the order; returns whether a load may be under way."""
+        state = self._state(target)
         if state is None:
-            self._recheck(name, wanted, False)
-            return
-        version = state.version_by_model.get(model, 0)
-        if version >= wanted:
-            self._ordered_by_name.pop(name, None)
-            return
-        if state.loading:
-            self._recheck(name, wanted, True)
-            return
+            return False
+        if state.version_by_model.get(model, 0) >= wanted or state.loading:
+            return True
         order = WeightOrder(
             model,
             wanted,
@@ -111,55 +157,53 @@
         )
         # The duty may have ended while the state was asked for.
         if self._instances.term() != term:
-            return
-        self._give(name, target, order)
-
-    def _state(
-        self, name: str, target: Target, model: str
-    ) -> TargetState | None:
-        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
-        try:
-            state = target.calls.state(deadline)
-        except TargetError as error:
-            _log.info(
-                "Engine not asked.",
-                extra={"target": target.name, "reason": str(error)},
-            )
-            return None
-        self._busy_by_name[name] = state.busy
-        target.least_version_by_model[model] = max(
-            target.least_version_by_model.get(model, 0),
-            state.version_by_model.get(model, 0),
-        )
-        return state
-
-    def _give(self, name: str, target: Target, order: WeightOrder) -> None:
+            return False
         deadline = self._clock.monotonic() + CALL_TIMEOUT_S
         accepted = False
         try:
             outcome = target.calls.order(order, deadline)
-            accepted = outcome.accepted
-            detail = outcome.detail
+            accepted, detail = outcome.accepted, outcome.detail
         except TargetError as error:
             detail = str(error)
-        self._recheck(name, order.version, accepted)
         _log.info(
             "Order given.",
             extra={
                 "target": target.name,
-                "model": order.model,
-                "version": order.version,
-                "orders": order.orders,
-                "fencing": order.fencing,
+                "model": model,
+                "version": wanted,
+                "orders": state.orders,
+                "busy": state.busy,
+                "fencing": term.fencing,
                 "accepted": accepted,
                 "detail": detail,
             },
         )
+        return accepted
+
+    def _await_load(
+        self, target: Target, model: str, wanted: int, stop: threading.Event
+    ) -> int:
+        """Returns the version that the engine serves in the end."""
+        until = self._clock.monotonic() + LOAD_TIMEOUT_S
+        version = 0
+        wait_s = FIRST_CHECK_S
+        while self._clock.monotonic() < until and not stop.wait(wait_s):
+            wait_s = CHECK_PERIOD_S
+            state = self._state(target)
+            if state is None:
+                continue
+            version = state.version_by_model.get(model, 0)
+            if version >= wanted:
+                break
+        return version
 
-    def _recheck(self, name: str, version: int, accepted: bool) -> None:
-        at = self._clock.monotonic() + weight_orders.RECHECK_S
-        self._ordered_by_name[name] = Ordered(version, accepted, at)
-
-
-def _key(target: Target) -> str:
-    return f"{target.name}/{target.record.born_ms}"
+    def _state(self, target: Target) -> TargetState | None:
+        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        try:
+            return target.calls.state(deadline)
+        except TargetError as error:
+            _log.info(
+                "Engine not asked.",
+                extra={"target": target.name, "reason": str(error)},
+            )
+            return None
