Keep long samples for a new holder, and list results by whole groups

Cause: steps ended 0.7 s after their last sample, since a listing just before made the trainer pause; a lost holder's samples of up to 7 s began anew; and a store that did not answer held up a job's whole control thread.

Change: results are listed when they complete the step, else once a second; events of unfinished long samples are saved every 0.7 s and resumed by the next holder; calls to the store run in worker threads, one at a time a job.

--- a/hibiscuspin/decisions/job_order.py
+++ b/hibiscuspin/decisions/job_order.py
@@ -9,16 +9,24 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-__all__ = ["SampleSize", "Waiting", "commit_due", "start_order"]
+__all__ = ["SampleSize", "Waiting", "commit_due", "save_due", "start_order"]
 
 # Share of the time to the due moment that work may fill before groups are
 # taken one by one; the rest is for late starts and slow targets.
 SPARE_SHARE = 0.6
 
-# A reader asks twice a second; half of that period adds little to its wait.
+# A trainer that has read something pauses for half a second, so that a
+# listing just before the one that completes its step delays it.
+GROUP_PERIOD_S = 1.0
 COMMIT_PERIOD_S = 0.2
-LONGEST_HOLD_S = 0.5
+LONGEST_HOLD_S = 2.0
 COMMIT_BYTES = 400_000
+# Results must be read by the due moment.
+DUE_LEAD_S = 1.2
+
+# What a lost holder costs at most, against a paid call for each save.
+SAVE_PERIOD_S = 0.7
+SAVE_EVENTS = 60
 
 
 class SampleSize(NamedTuple):
@@ -43,6 +51,9 @@
         size: Bytes of their texts.
         since: When the first of them was finished.
         ends_group: Whether one of them completes its group.
+        ends_step: Whether they complete the groups that the trainer waits
+            for.
+        step_ended: Whether these groups were complete before.
         last: Whether no sample is left to wait for.
     """
 
@@ -50,6 +61,8 @@
     size: int
     since: float
     ends_group: bool
+    ends_step: bool
+    step_ended: bool
     last: bool
 
 
@@ -89,16 +102,37 @@
     )
 
 
-def commit_due(waiting: Waiting, committed_at: float, now: float) -> bool:
-    """Tells whether results should be written now.
+def commit_due(
+    waiting: Waiting, committed_at: float, due_at: float, now: float
+) -> bool:
+    """Tells whether results should be listed now.
+
+    Only whole groups are of use to a trainer, and it pauses after each
+    listing that it reads.
 
-    Only whole groups are of use to a trainer, so that single results wait
-    for company; each write is a paid call.
+    Args:
+        waiting: The results that are not listed.
+        committed_at: When results were listed last.
+        due_at: When the step's results are due.
+        now: The monotonic time.
     """
     if not waiting.results:
         return False
-    if waiting.last or waiting.size >= COMMIT_BYTES:
+    if waiting.last or waiting.ends_step or waiting.size >= COMMIT_BYTES:
         return True
     if now - waiting.since >= LONGEST_HOLD_S:
         return True
-    return waiting.ends_group and now - committed_at >= COMMIT_PERIOD_S
+    urgent = waiting.step_ended or now >= due_at - DUE_LEAD_S
+    period_s = COMMIT_PERIOD_S if urgent else GROUP_PERIOD_S
+    return waiting.ends_group and now - committed_at >= period_s
+
+
+def save_due(new_events: int, saved_at: float, now: float) -> bool:
+    """Tells whether unfinished samples should be kept for a new holder.
+
+    Args:
+        new_events: Events of long samples since the last save.
+        saved_at: When that was.
+        now: The monotonic time.
+    """
+    return new_events >= SAVE_EVENTS and now - saved_at >= SAVE_PERIOD_S
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -43,6 +43,8 @@
 READY_THREADS = 1
 # Samples that one instance runs at once; the rest wait for it.
 SAMPLE_THREADS = 256
+# Each open job has one call to the store under way.
+WRITE_THREADS = 16
 METRICS_PORT = 9464
 # The balancer takes an instance out after two refusals, a second apart.
 UNREADY_S = 3.2
@@ -88,11 +90,15 @@
         self._runs = ThreadPoolExecutor(
             SAMPLE_THREADS, thread_name_prefix="sample"
         )
+        self._writes = ThreadPoolExecutor(
+            WRITE_THREADS, thread_name_prefix="write"
+        )
         self._jobs = Jobs(
             JobTools(
                 job_store,
                 self._targets,
                 self._runs,
+                self._writes,
                 self._routes.of_job,
                 self._routes.event_tokens,
                 self._clock,
@@ -172,6 +178,7 @@
         self._jobs.stop()
         self._forwarder.stop()
         self._runs.shutdown()
+        self._writes.shutdown()
         _log.info("Instance stopped.")
 
     def ready(self) -> bool:
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -15,6 +15,7 @@
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions.recovery import HeldJob
+from hibiscuspin.decisions.samples import Made
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.transactions import (
     Committed,
@@ -39,6 +40,7 @@
 HEAD_PREFIX = "hibiscuspin/jobs/"
 _PART_PREFIX = "hibiscuspin/job-parts/"
 _RESULT_PREFIX = "hibiscuspin/job-results/"
+_MADE_PREFIX = "hibiscuspin/job-made/"
 
 # A value may have a megabyte; base64 on the wire adds a third.
 PART_BYTES = 700_000
@@ -280,6 +282,40 @@
             raise FencedError(current)
         return current
 
+    def save_made(
+        self,
+        job: str,
+        stored: StoredHead,
+        made_by_name: Mapping[str, Sequence[Made]],
+        deadline: float,
+    ) -> None:
+        """Keeps the events of unfinished samples for a new holder.
+
+        Raises:
+            FencedError: Another head holds.
+            StoreError: The outcome is unknown.
+        """
+        head_key = HEAD_PREFIX + job
+        packed = zlib.compress(msgspec.msgpack.encode(made_by_name), level=1)
+        outcome = self._store.commit(
+            Transaction(
+                {head_key: stored.revision}, (Put(_MADE_PREFIX + job, packed),)
+            ),
+            deadline,
+        )
+        if isinstance(outcome, Conflict):
+            value = outcome.values_by_key.get(head_key)
+            raise FencedError(_stored(value) if value else None)
+
+    def made(self, job: str, deadline: float) -> dict[str, list[Made]]:
+        """Reads the events of unfinished samples."""
+        value = self._store.read(_MADE_PREFIX + job, deadline)
+        if value is None:
+            return {}
+        return msgspec.msgpack.decode(
+            zlib.decompress(value.value), type=dict[str, list[Made]]
+        )
+
     def replace_head(
         self, job: str, stored: StoredHead, head: JobHead, deadline: float
     ) -> StoredHead:
@@ -309,8 +345,8 @@
             for start in range(0, len(keys), DELETES_TOGETHER):
                 chunk = keys[start : start + DELETES_TOGETHER]
                 self._store.commit(Transaction({}, (), chunk), deadline)
-        head = [HEAD_PREFIX + job]
-        self._store.commit(Transaction({}, (), head), deadline)
+        rest = [_MADE_PREFIX + job, HEAD_PREFIX + job]
+        self._store.commit(Transaction({}, (), rest), deadline)
 
 
 def _stored(value: StoredValue) -> StoredHead:
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -379,6 +379,8 @@
             return False
         contents = self._store.contents(job, head["parts"], deadline)
         listed = self._store.results(job, deadline)
+        saved = self._store.made(job, deadline)
+        made_by_name = _longer(saved, made_by_name or {})
         found = self._tools.route_of(contents)
         if found is None:
             return False
@@ -392,7 +394,7 @@
                 "job": job,
                 "from": before,
                 "listed": len(listed),
-                "samples_begun": len(made_by_name or {}),
+                "samples_begun": len(made_by_name),
             },
         )
         return True
@@ -597,6 +599,17 @@
         return msgspec.msgpack.encode(taken)
 
 
+def _longer(
+    saved: dict[str, list[Made]], given: dict[str, list[Made]]
+) -> dict[str, list[Made]]:
+    """Returns the more of two records for each sample."""
+    longer = dict(saved)
+    for name, made in given.items():
+        if len(made) > len(longer.get(name, ())):
+            longer[name] = made
+    return longer
+
+
 def _unavailable(error: StoreError) -> HibiscusError:
     return HibiscusError(
         ErrorKind.STORE_UNAVAILABLE, f"The store gave no answer: {error}"
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -8,9 +8,10 @@
 import queue
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Executor
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import job_order, placement, samples
@@ -34,14 +35,19 @@
 TICK_S = 0.04
 # The trainer's end must reach the holder well before 3 s.
 VERIFY_PERIOD_S = 1.0
-COMMIT_TIMEOUT_S = 2.0
-COMMIT_RETRY_S = 0.1
+WRITE_TIMEOUT_S = 2.0
+WRITE_RETRY_S = 0.1
+# Shorter samples are made again as fast as they are read back.
+SAVED_EVENTS = 12
+SAVED_BYTES = 500_000
 MOVE_PERIOD_S = 0.25
 MAX_MOVES = 2
 LEAVE_POLL_S = 0.02
 # Results are on time until this long after the due moment.
 DUE_GRACE_S = 0.5
 
+T = TypeVar("T")
+
 _log = get_logger("rollouts")
 
 
@@ -52,6 +58,7 @@
         store: Where results are kept.
         targets: The targets.
         runs: The worker threads of runs.
+        writes: The worker threads of calls to the store.
         route_of: Returns a job's route and service; None if it is gone.
         event_tokens: Returns how many tokens an event of a service has.
         clock: The time.
@@ -60,6 +67,7 @@
     store: JobStore
     targets: DiscoveredTargets
     runs: Executor
+    writes: Executor
     route_of: Callable[[JobContents], tuple[ForwardRoute, str] | None]
     event_tokens: Callable[[str], float]
     clock: Clock
@@ -74,10 +82,19 @@
 
 
 class _Ended(NamedTuple):
+    """A run has ended."""
+
     run: SampleRun
     end: End
 
 
+class _Written(NamedTuple):
+    """A call to the store has ended; `error` is None if it succeeded."""
+
+    finish: Callable[[], None]
+    error: Exception | None
+
+
 class LocalJob:
     """A job from its acceptance or takeover until it ends or moves on."""
 
@@ -101,25 +118,34 @@
         self._finished_since = 0.0
         self._chunk: _Chunk | None = None
         self._over = threading.Event()
-        self._paused = False
         self._fenced = False
         self._event_tokens = 1.0
-        self._ended: queue.SimpleQueue[_Ended | None] = queue.SimpleQueue()
+        self._inbox: queue.SimpleQueue[_Ended | _Written | None] = (
+            queue.SimpleQueue()
+        )
+        self._writing = False
         age_s = max(0.0, self._clock.wall() - stored.head["submitted_at"])
         submitted = self._clock.monotonic() - age_s
         self._due_at = submitted + route.result_due_s + DUE_GRACE_S
         self._given_up_at = submitted + route.keep_s
         self._committed_at = 0.0
         self._retry_at = 0.0
+        self._saved_at = self._clock.monotonic()
+        self._saved_events = 0
         self._verified_at = self._clock.monotonic()
         self._moved_at = 0.0
         self._moves_by_place: dict[int, int] = {}
         self._home_by_group: dict[str, str] = {}
         self._samples = self._unlisted(made_by_name or {})
-        self._left_by_group: dict[str, int] = {}
-        for sample in self._samples:
-            group = sample.item.group
-            self._left_by_group[group] = self._left_by_group.get(group, 0) + 1
+        groups = {item.group for item in contents.items}
+        self._wanted_groups = min(
+            contents.wanted_groups or len(groups), len(groups)
+        )
+        self._groups = len(groups)
+        # Items of each group that are not finished, and not listed.
+        self._left_by_group = Counter(s.item.group for s in self._samples)
+        self._unlisted_by_group = Counter(self._left_by_group)
+        self._group_by_name = {item.name: item.group for item in contents.items}
 
     def _unlisted(
         self, made_by_name: dict[str, list[samples.Made]]
@@ -172,11 +198,9 @@
                 now = self._clock.monotonic()
                 if now >= self._given_up_at:
                     self._give_up_rest("its time is over")
-                if not self._paused:
-                    self._start_samples(now)
-                    self._move_stragglers(now)
-                    self._commit(now)
-                self._verify(now)
+                self._start_samples(now)
+                self._move_stragglers(now)
+                self._write(now)
                 if self.done:
                     break
         except FencedError as fenced:
@@ -193,7 +217,7 @@
                 run.moved.set()
         with self._changed:
             self._changed.notify_all()
-        self._ended.put(None)
+        self._inbox.put(None)
 
     def leave_targets(self, names: Collection[str], until: float) -> None:
         """Moves all samples off some targets, and waits for that."""
@@ -213,7 +237,6 @@
         Returns:
             The events of unfinished samples by item.
         """
-        self._paused = True
         self._fenced = True
         self.finish()
         return {
@@ -238,15 +261,32 @@
         )
 
     def _take_ends(self) -> None:
-        """Waits for a tick, or for the end of runs."""
+        """Waits for a tick, or for the end of runs and writes."""
         try:
-            row = self._ended.get(timeout=TICK_S)
+            row = self._inbox.get(timeout=TICK_S)
             while row is not None:
-                self._take_end(row.run, row.end)
-                row = self._ended.get_nowait()
+                if isinstance(row, _Ended):
+                    self._take_end(row.run, row.end)
+                else:
+                    self._take_written(row)
+                row = self._inbox.get_nowait()
         except queue.Empty:
             return
 
+    def _take_written(self, written: _Written) -> None:
+        self._writing = False
+        error = written.error
+        if error is None:
+            written.finish()
+        elif isinstance(error, StoreError):
+            self._retry_at = self._clock.monotonic() + WRITE_RETRY_S
+            _log.info(
+                "Job not written yet.",
+                extra={"job": self.contents.job, "reason": str(error)},
+            )
+        else:
+            raise error
+
     def _take_end(self, run: SampleRun, end: End) -> None:
         sample = run.sample
         sample.run = None
@@ -389,7 +429,7 @@
             _log.exception("Run failed.")
             end = End.BROKEN
         if run.sample.run is run:
-            self._ended.put(_Ended(run, end))
+            self._inbox.put(_Ended(run, end))
 
     def _move_stragglers(self, now: float) -> None:
         if now - self._moved_at < MOVE_PERIOD_S:
@@ -432,57 +472,144 @@
                 self._moves_by_place[place] = moves + 1
                 run.moved.set()
 
-    def _commit(self, now: float) -> None:
+    def _write(self, now: float) -> None:
+        """Starts the call to the store that is due, one at a time."""
+        if self._writing or now < self._retry_at:
+            return
         if self._chunk is None:
             self._chunk = self._next_chunk(now)
-        if self._chunk is None or now < self._retry_at:
-            return
-        chunk = self._chunk
+        if self._chunk is not None:
+            self._list(self._chunk)
+        elif job_order.save_due(self._new_events(), self._saved_at, now):
+            self._save(now)
+        elif now - self._verified_at >= VERIFY_PERIOD_S:
+            self._verify()
+
+    def _submit(
+        self, call: Callable[[float], T], finish: Callable[[T], None]
+    ) -> None:
+        """Runs a call to the store in a worker thread."""
+        self._writing = True
+        self._tools.writes.submit(self._call, call, finish)
+
+    def _call(
+        self, call: Callable[[float], T], finish: Callable[[T], None]
+    ) -> None:
+        deadline = self._clock.monotonic() + WRITE_TIMEOUT_S
         try:
-            self.stored = self._tools.store.add_results(
+            result = call(deadline)
+        except Exception as error:
+            self._inbox.put(_Written(lambda: None, error))
+        else:
+            self._inbox.put(_Written(lambda: finish(result), None))
+
+    def _list(self, chunk: _Chunk) -> None:
+        def call(deadline: float) -> StoredHead:
+            return self._tools.store.add_results(
                 self.contents.job,
                 self.stored,
                 chunk.first,
                 chunk.results,
                 chunk.done,
-                now + COMMIT_TIMEOUT_S,
+                deadline,
             )
-        except StoreError as error:
-            self._retry_at = self._clock.monotonic() + COMMIT_RETRY_S
-            _log.info(
-                "Results not written yet.",
-                extra={
-                    "job": self.contents.job,
-                    "first": chunk.first,
-                    "reason": str(error),
-                },
+
+        def finish(stored: StoredHead) -> None:
+            self.stored = stored
+            self._chunk = None
+            self._committed_at = self._verified_at = self._clock.monotonic()
+            for result in chunk.results:
+                self._unlisted_by_group[self._group_by_name[result.name]] -= 1
+            with self._changed:
+                self._listed += chunk.results
+                self._changed.notify_all()
+
+        self._submit(call, finish)
+
+    def _save(self, now: float) -> None:
+        made_by_name = self._made_to_save()
+        self._saved_at = now
+        self._saved_events = self._long_events()
+
+        def call(deadline: float) -> None:
+            self._tools.store.save_made(
+                self.contents.job, self.stored, made_by_name, deadline
             )
-            return
-        self._chunk = None
-        self._committed_at = self._verified_at = self._clock.monotonic()
-        with self._changed:
-            self._listed += chunk.results
-            self._changed.notify_all()
+
+        def finish(result: None) -> None:
+            self._verified_at = self._clock.monotonic()
+
+        self._submit(call, finish)
+
+    def _verify(self) -> None:
+        """Finds out whether the job was ended or taken over elsewhere."""
+        revision = self.stored.revision
+
+        def call(deadline: float) -> StoredHead | None:
+            return self._tools.store.head(self.contents.job, deadline)
+
+        def finish(current: StoredHead | None) -> None:
+            self._verified_at = self._clock.monotonic()
+            if current is None or current.revision != revision:
+                raise FencedError(current)
+
+        self._submit(call, finish)
+
+    def _unlisted_samples(self) -> list[Sample]:
+        listed = {result.name for result in self._listed}
+        return [s for s in self._samples if s.item.name not in listed]
+
+    def _long_events(self) -> int:
+        return sum(
+            len(sample.made)
+            for sample in self._samples
+            if len(sample.made) >= SAVED_EVENTS
+        )
+
+    def _new_events(self) -> int:
+        return self._long_events() - self._saved_events
+
+    def _made_to_save(self) -> dict[str, list[samples.Made]]:
+        """Returns the events of the longest samples that are not listed."""
+        rows = sorted(
+            self._unlisted_samples(), key=lambda sample: -len(sample.made)
+        )
+        made_by_name: dict[str, list[samples.Made]] = {}
+        size = 0
+        for sample in rows:
+            made = list(sample.made)
+            size += sum(len(event.data) for event in made)
+            if len(made) < SAVED_EVENTS or size > SAVED_BYTES:
+                break
+            made_by_name[sample.item.name] = made
+        return made_by_name
 
     def _next_chunk(self, now: float) -> _Chunk | None:
         finished = self._finished
         last = all(sample.finished for sample in self._samples)
-        whole = any(left == 0 for left in self._left_by_group.values())
+        groups = {self._group_by_name[result.name] for result in finished}
+        listed = self._groups - sum(
+            left > 0 for left in self._unlisted_by_group.values()
+        )
+        complete = self._groups - sum(
+            left > 0 for left in self._left_by_group.values()
+        )
         waiting = job_order.Waiting(
-            len(finished),
-            sum(len(result.text) for result in finished),
-            self._finished_since,
-            whole,
-            last,
+            results=len(finished),
+            size=sum(len(result.text) for result in finished),
+            since=self._finished_since,
+            ends_group=any(not self._left_by_group[g] for g in groups),
+            ends_step=listed < self._wanted_groups <= complete,
+            step_ended=listed >= self._wanted_groups,
+            last=last,
         )
-        if not job_order.commit_due(waiting, self._committed_at, now):
+        if not job_order.commit_due(
+            waiting, self._committed_at, self._due_at, now
+        ):
             return None
         results, rest = self._split(finished)
         self._finished = rest
         self._finished_since = now
-        self._left_by_group = {
-            group: left for group, left in self._left_by_group.items() if left
-        }
         return _Chunk(len(self._listed), results, last and not rest)
 
     def _split(
@@ -495,19 +622,3 @@
             if size > job_order.COMMIT_BYTES and count:
                 return tuple(finished[:count]), finished[count:]
         return tuple(finished), []
-
-    def _verify(self, now: float) -> None:
-        """Finds out whether the job was ended or taken over elsewhere."""
-        if now - self._verified_at < VERIFY_PERIOD_S:
-            return
-        self._verified_at = now
-        job = self.contents.job
-        try:
-            current = self._tools.store.head(job, now + COMMIT_TIMEOUT_S)
-        except StoreError:
-            return
-        if current is None or current.revision != self.stored.revision:
-            if self._chunk is not None and self._chunk.done and current:
-                # The last write may have changed the head without an answer.
-                return
-            raise FencedError(current)
