--- /dev/null
+++ b/features/http_client.feature
@@ -0,0 +1,55 @@
+Feature: The HTTP client takes only whole answers, as they come
+
+  Scenario Outline: an answer that ends early is a failure
+    Given a raw server that answers "<answer>" and closes
+    When the client asks it once
+    Then the call fails as sent
+
+    Examples:
+      | answer                                                           |
+      | HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc                  |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc    |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n |
+      | HTTP/1.1 200                                                     |
+      | HTTP/1.1 200 OK\r\nX-Part: 1                                      |
+      | HTTP/1.1 200 OK\r\nX-Part: 1\r\n                                  |
+
+  Scenario Outline: a whole answer is read whatever its framing
+    Given a raw server that answers "<answer>" and closes
+    When the client asks it once
+    Then the client reads "abc"
+
+    Examples:
+      | answer                                                                |
+      | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc                       |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n |
+      | HTTP/1.1 200 OK\r\n\r\nabc                                            |
+
+  Scenario: an answer of known length ends at its length and its connection is used again
+    Given a raw server that answers "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc" and stays
+    When the client asks it 3 times with a check
+    Then each call took less than 0.5 s
+    And the raw server saw 1 connection
+
+  Scenario: a connection that the other end will close is not used again
+    Given a raw server that answers "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 3\r\n\r\nabc" and stays
+    When the client asks it 2 times, 0.9 s apart
+    Then the raw server saw 2 connections
+
+  Scenario: bytes after a whole answer end its connection
+    Given a raw server that answers "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n" and stays
+    When the client asks it 2 times, 0.1 s apart
+    Then the raw server saw 2 connections
+
+  Scenario: lines of a stream are given out when they come
+    Given a raw server that sends a chunked line each 0.2 s
+    When the client reads its stream
+    Then the first line came within 0.15 s
+    And 5 lines came one after the other
+
+  Scenario: a connect to a silent address is given up early
+    When the client connects to an address that drops packets
+    Then the connect fails within 1.0 s
+
+  Scenario: the clock counts the time of a suspended machine
+    Then the system clock follows the boot time
--- /dev/null
+++ b/features/steps/platform_decisions_steps.py
@@ -0,0 +1,421 @@
+"""Steps on the decisions of forwarding, jobs and weights, in-process."""
+
+import heapq
+from collections import Counter
+from typing import Any
+
+from behave import given, then, when
+
+from hibiscuspin.decisions import (
+    attempts,
+    job_order,
+    placement,
+    queueing,
+    recovery,
+    routes,
+    samples,
+    store_paths,
+    weight_orders,
+)
+from hibiscuspin.decisions.job_order import SampleSize
+from hibiscuspin.decisions.placement import TargetView
+from hibiscuspin.decisions.recovery import HeldJob, Member
+from hibiscuspin.decisions.routes import CallKind, ForwardRoute
+
+YES_NO = {"yes": True, "no": False}
+
+
+def route(prefix: str, service: str) -> ForwardRoute:
+    return ForwardRoute(
+        name=service,
+        host="h",
+        prefix=prefix,
+        kind=CallKind.REPEATABLE,
+        weight_by_service={service: 1.0},
+        timeout_s=1.0,
+        objective_s=0.2,
+        max_attempts=2,
+    )
+
+
+@given('forward routes "/a/" to one, "/a/b/" to two and "/c/" to three')
+def set_routes(context: Any) -> None:
+    rows = [route("/a/", "one"), route("/a/b/", "two"), route("/c/", "three")]
+    limits = routes.ClientLimits(1, 1, 1.0, 1.0)
+    by_host = routes.sorted_routes(rows)
+    context.route_table = routes.RouteTable(1, by_host, limits, {})
+
+
+@when('the route of "{path}" on host "{host}" is looked up')
+def look_up(context: Any, path: str, host: str) -> None:
+    context.found = routes.find(context.route_table, host, path)
+
+
+@then('the forward route is "{service}"')
+def check_route(context: Any, service: str) -> None:
+    name = context.found.name if context.found else "none"
+    assert name == service, name
+
+
+@given(
+    "a call that is {kind} with {running:d} running and {ran:d} that may "
+    "have run"
+)
+def set_progress(context: Any, kind: str, running: int, ran: int) -> None:
+    context.progress = attempts.Progress(
+        kind == "repeatable", 2, running, ran, 0.1, 1.0
+    )
+
+
+@given("{free:d} places are free and the answer takes {answer:g} s")
+def set_load(context: Any, free: int, answer: float) -> None:
+    context.load = queueing.Load(free, 6, 0, answer)
+
+
+@when(
+    "it is {now:g} s old with a hedge at {hedge:g} s and a deadline at "
+    "{deadline:g} s"
+)
+def take_step(context: Any, now: float, hedge: float, deadline: float) -> None:
+    progress = context.progress._replace(hedge_at=hedge, deadline=deadline)
+    context.step = attempts.next_step(progress, context.load, now)
+
+
+@then("the call's next step is {kind}")
+def check_step(context: Any, kind: str) -> None:
+    assert context.step.kind.name == kind, context.step
+
+
+@given("a service of {slots:d} places whose answers take {answer:g} s")
+def set_service(context: Any, slots: int, answer: float) -> None:
+    context.service = (slots, answer)
+
+
+@when("{count:d} calls with {left:g} s to live arrive at once")
+def burst(context: Any, count: int, left: float) -> None:
+    slots, answer = context.service
+    free, ahead = slots, 0
+    context.verdicts = []
+    for _ in range(count):
+        load = queueing.Load(free, slots, ahead, answer)
+        verdict = queueing.judge(load, 0.0, left)
+        context.verdicts.append(verdict)
+        free -= verdict.move is queueing.Move.START
+        ahead += verdict.move is queueing.Move.WAIT
+
+
+@then(
+    "{count:d} calls start, the rest that fit wait and all others are "
+    "rejected at once"
+)
+def check_burst(context: Any, count: int) -> None:
+    slots, answer = context.service
+    moves = Counter(verdict.move for verdict in context.verdicts)
+    assert moves[queueing.Move.START] == count, moves
+    waiting = moves[queueing.Move.WAIT]
+    # All that wait are done in time; one more would not be.
+    assert (waiting / slots + 1) * answer <= 2.5 + 1e-9, moves
+    assert ((waiting + 1) / slots + 1) * answer > 2.5, moves
+    assert moves[queueing.Move.REJECT] == 100 - count - waiting
+
+
+@then("each rejected call gets a time to come back between {a:g} and {b:g} s")
+def check_retry(context: Any, a: float, b: float) -> None:
+    rejected = [
+        verdict.retry_after_s
+        for verdict in context.verdicts
+        if verdict.move is queueing.Move.REJECT
+    ]
+    assert rejected and all(a <= retry <= b for retry in rejected), rejected
+
+
+def view(text: str) -> TargetView:
+    name, _, fields = text.partition(":")
+    base = TargetView(name, 6, answer_s=0.05, event_s=0.04)
+    pairs = (pair.split("=") for pair in fields.split(",") if pair)
+    types = TargetView.__annotations__
+    values: dict[str, Any] = {
+        key: int(value) if types[key] is int else float(value)
+        for key, value in pairs
+    }
+    return base._replace(**values)
+
+
+@given('targets "{texts}"')
+def set_targets(context: Any, texts: str) -> None:
+    context.views = [view(text) for text in texts.split()]
+
+
+@when('a call is placed that has tried "{tried}"')
+def place_call(context: Any, tried: str) -> None:
+    context.chosen = placement.place_call(context.views, tried.split(), 1.0)
+
+
+@when('a call is placed that has tried ""')
+def place_first_call(context: Any) -> None:
+    place_call(context, "")
+
+
+@then('the call goes to "{name}"')
+@then('the sample goes to "{name}"')
+def check_chosen(context: Any, name: str) -> None:
+    chosen = context.chosen.name if context.chosen else "none"
+    assert chosen == name, chosen
+
+
+@when(
+    "a sample of {events:d} events from version {version:d} with home "
+    '"{home}" is placed'
+)
+def place_sample(context: Any, events: int, version: int, home: str) -> None:
+    need = placement.SampleNeed(version, events, home)
+    context.chosen = placement.place_sample(context.views, need, 1.0)
+
+
+@when(
+    "a sample of {events:d} events from version {version:d} with home "
+    '"" is placed'
+)
+def place_homeless(context: Any, events: int, version: int) -> None:
+    place_sample(context, events, version, "")
+
+
+@given('samples of "{texts}"')
+def set_samples(context: Any, texts: str) -> None:
+    context.sizes = []
+    for text in texts.split():
+        group, _, sizes = text.partition(":")
+        for size in sizes.split(","):
+            place = len(context.sizes)
+            context.sizes.append(SampleSize(place, group, float(size)))
+
+
+@when("{rate:d} events a second are made and {left:d} s are left")
+def order_samples(context: Any, rate: int, left: int) -> None:
+    context.order = job_order.start_order(context.sizes, rate, left)
+
+
+@then('the samples start in the order "{sizes}"')
+def check_order(context: Any, sizes: str) -> None:
+    by_place = {row.place: row.events for row in context.sizes}
+    found = " ".join(f"{by_place[place]:g}" for place in context.order)
+    assert found == sizes, found
+
+
+@given("12 groups of 8 samples with one long sample in every second group")
+def set_groups(context: Any) -> None:
+    context.sizes = [
+        SampleSize(
+            group * 8 + item,
+            f"g{group:02d}",
+            120.0 if item == 0 and group % 2 else 20.0,
+        )
+        for group in range(12)
+        for item in range(8)
+    ]
+
+
+def groups_in_time(
+    sizes: list[SampleSize], order: list[int], places: int, limit_s: float
+) -> int:
+    """Plays an order on one engine; returns the groups that end in time."""
+    by_place = {row.place: row for row in sizes}
+    free_at = [0.0] * places
+    end_by_group: dict[str, float] = {}
+    for place in order:
+        row = by_place[place]
+        end = heapq.heappop(free_at) + row.events * 0.04
+        heapq.heappush(free_at, end)
+        known = end_by_group.get(row.group, 0.0)
+        end_by_group[row.group] = max(known, end)
+    return sum(end <= limit_s for end in end_by_group.values())
+
+
+@when("an engine of {places:d} places has {left:d} s for them")
+def play_orders(context: Any, places: int, left: int) -> None:
+    rate = places / 0.04
+    chosen = job_order.start_order(context.sizes, rate, left)
+    longest = sorted(context.sizes, key=lambda row: (-row.events, row.place))
+    context.groups = (
+        groups_in_time(context.sizes, chosen, places, left),
+        groups_in_time(
+            context.sizes, [row.place for row in longest], places, left
+        ),
+    )
+
+
+@then(
+    "the chosen order completes at least {more:d} groups more than longest "
+    "first"
+)
+def check_groups(context: Any, more: int) -> None:
+    chosen, longest = context.groups
+    assert chosen >= longest + more, context.groups
+
+
+@given("{count:d} finished results that wait since {since:g}, {part} the step")
+def set_waiting(context: Any, count: int, since: float, part: str) -> None:
+    context.waiting = job_order.Waiting(
+        results=count,
+        size=count * 8_000,
+        since=since,
+        ends_group=part != "a part of",
+        ends_step=part == "the last wanted of",
+        step_ended=part in ("a group after", "the end of"),
+        last=part == "the end of",
+    )
+
+
+@when(
+    "it is {now:g} with the last listing at {listed:g} and the due moment "
+    "at {due:g}"
+)
+def judge_listing(context: Any, now: float, listed: float, due: float) -> None:
+    context.due = job_order.commit_due(context.waiting, listed, due, now)
+
+
+@then("listing is due: {due}")
+def check_due(context: Any, due: str) -> None:
+    assert context.due is YES_NO[due], context.due
+
+
+@when(
+    "a run of a sample ends with {end} after {errors:d} errors of "
+    "{most:d} attempts"
+)
+def end_run(context: Any, end: str, errors: int, most: int) -> None:
+    context.next = samples.after_run(samples.End[end], errors, most)
+
+
+@then("the sample's next step is {name}")
+def check_next(context: Any, name: str) -> None:
+    assert context.next.name == name, context.next
+
+
+@given("events made by versions {versions}")
+def set_made(context: Any, versions: str) -> None:
+    context.made = [
+        samples.Made(number + 1, "x", int(version))
+        for number, version in enumerate(versions.split(","))
+    ]
+
+
+@when(
+    "a run under version {version:d} begins that allows {oldest:d} and "
+    "newer, single: {single}"
+)
+def begin_run(context: Any, version: int, oldest: int, single: str) -> None:
+    context.kept = samples.kept_events(
+        context.made, oldest, version, YES_NO[single]
+    )
+
+
+@then("{count:d} events are kept")
+def check_kept(context: Any, count: int) -> None:
+    assert len(context.kept) == count, context.kept
+
+
+@given('running samples "{texts}"')
+def set_running(context: Any, texts: str) -> None:
+    context.running = []
+    for text in texts.split():
+        place, _, fields = text.partition(":")
+        left, pace = map(float, fields.split(","))
+        context.running.append(samples.Straggler(int(place), left, pace))
+
+
+@when("engines with a pace of {pace:g} s have {places:d} free places")
+def find_stragglers(context: Any, pace: float, places: int) -> None:
+    context.moved = samples.stragglers(context.running, pace, places)
+
+
+@then('samples "{places}" move')
+def check_moved(context: Any, places: str) -> None:
+    assert context.moved == [int(p) for p in places.split()], context.moved
+
+
+@given('engines "{texts}"')
+def set_engines(context: Any, texts: str) -> None:
+    context.engines = []
+    for text in texts.split():
+        name, _, fields = text.partition(":")
+        version, busy = map(int, fields.split(","))
+        engine = weight_orders.EngineView(name, version, busy)
+        context.engines.append(engine)
+
+
+@when('version {wanted:d} is wanted and "{loading}" loads')
+def choose_engines(context: Any, wanted: int, loading: str) -> None:
+    context.loads = weight_orders.next_engines(
+        wanted, context.engines, loading.split()
+    )
+
+
+@then('the engines "{names}" load next')
+def check_loads(context: Any, names: str) -> None:
+    assert context.loads == names.split(), context.loads
+
+
+@then("of {engines:d} engines {loads:d} load at once")
+def check_at_once(context: Any, engines: int, loads: int) -> None:
+    assert weight_orders.loads_at_once(engines) == loads
+
+
+@given('members "{texts}"')
+def set_members(context: Any, texts: str) -> None:
+    context.members = {}
+    for text in texts.split():
+        name, _, term = text.partition("/")
+        context.members[name] = Member(name, term, "", "dc")
+
+
+@given('held jobs "{texts}"')
+def set_jobs(context: Any, texts: str) -> None:
+    context.held = []
+    for text in texts.split():
+        job, holder, *closed = text.split(":")
+        name, _, term = holder.partition("/")
+        context.held.append(HeldJob(job, name, term, not closed, 0.0))
+
+
+@then('the orphans are "{names}"')
+def check_orphans(context: Any, names: str) -> None:
+    found = recovery.orphans(context.held, context.members)
+    assert [job.job for job in found] == names.split(), found
+
+
+@when("30 orphans are given to the least busy, where a holds 3")
+def assign_orphans(context: Any) -> None:
+    counts: Counter[str] = Counter(a=3)
+    context.given = Counter()
+    for number in range(30):
+        member = recovery.successor(f"j{number}", context.members, counts)
+        assert member is not None
+        counts[member.name] += 1
+        context.given[member.name] += 1
+
+
+@then('the orphans are spread "{texts}"')
+def check_spread(context: Any, texts: str) -> None:
+    pairs = (text.split("=") for text in texts.split())
+    expected = {name: int(count) for name, count in pairs}
+    assert dict(context.given) == expected, context.given
+
+
+@given("the direct way failed {failures:d} times, last at {failed:g}")
+def set_path(context: Any, failures: int, failed: float) -> None:
+    path = store_paths.DirectPath()
+    for _ in range(failures):
+        path = store_paths.after_direct(path, False, failed)
+    context.path = path
+
+
+@when("a call is sent at {now:g} and {relays:d} instances may pass it on")
+def order_ways(context: Any, now: float, relays: int) -> None:
+    context.ways = store_paths.order(context.path, relays, now)
+
+
+@then('the ways are "{ways}"')
+def check_ways(context: Any, ways: str) -> None:
+    found = ["direct" if way is None else str(way) for way in context.ways]
+    assert found == ways.split(), found
--- /dev/null
+++ b/features/steps/platform_jobs_steps.py
@@ -0,0 +1,353 @@
+"""Steps on batch jobs, in-process, with faults of store and engines."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from behave import given, then, when
+
+from features.platform_fakes import MemoryFleet, contents
+from hibiscuspin.clock import monotonic
+from hibiscuspin.decisions import job_order
+from hibiscuspin.errors import HibiscusError
+from hibiscuspin.tasks import local_job
+from hibiscuspin.tasks.job_store import ItemResult
+
+JOB = "j1"
+LONG_S = 15.0
+SHORT_S = 0.2
+
+
+def wait_until(check: Callable[[], bool], limit_s: float) -> bool:
+    end = monotonic() + limit_s
+    while monotonic() < end:
+        if check():
+            return True
+        time.sleep(0.01)
+    return check()
+
+
+def results(context: Any, name: str, after: int = 0) -> list[ItemResult]:
+    jobs = context.memory.jobs_by_name[name]
+    rows: list[ItemResult] = []
+    while True:
+        page = jobs.results(JOB, after + len(rows), 0.0).results
+        if not page:
+            return rows
+        rows += page
+
+
+@given("instances a, b and c before {count:d} engines of {slots:d} places")
+def start_fleet(context: Any, count: int, slots: int) -> None:
+    context.memory = MemoryFleet(count, slots)
+    context.add_cleanup(context.memory.close)
+    for name in "abc":
+        context.memory.start(name)
+
+
+@when(
+    "{name} accepts a job of {groups:d} groups of {size:d} samples with "
+    "{events:d} events"
+)
+def accept(
+    context: Any, name: str, groups: int, size: int, events: int
+) -> None:
+    accept_from(context, name, groups, size, events, 1)
+
+
+@when(
+    "{name} accepts a job of {groups:d} groups of {size:d} samples with "
+    "{events:d} events from version {oldest:d}"
+)
+def accept_from(
+    context: Any, name: str, groups: int, size: int, events: int, oldest: int
+) -> None:
+    memory = context.memory
+    context.job = contents(JOB, groups, size, events, oldest)
+    jobs = memory.jobs_by_name[name]
+    jobs.submit(context.job, memory.route, monotonic() + LONG_S)
+
+
+@when("{name} accepts the same job")
+def accept_again(context: Any, name: str) -> None:
+    memory = context.memory
+    jobs = memory.jobs_by_name[name]
+    jobs.submit(context.job, memory.route, monotonic() + LONG_S)
+
+
+@when("a is sent a job with {left:g} s to live")
+def send_job(context: Any, left: float) -> None:
+    memory = context.memory
+    context.job = contents(JOB, 1, 2, 5)
+    context.refusal = None
+    try:
+        memory.jobs_by_name["a"].submit(
+            context.job, memory.route, monotonic() + left
+        )
+    except HibiscusError as error:
+        context.refusal = error
+
+
+@then('it is refused with "{code}"')
+def check_refusal(context: Any, code: str) -> None:
+    assert context.refusal is not None
+    assert str(context.refusal.kind) == code, context.refusal
+
+
+@then("no engine ran anything")
+def check_nothing_ran(context: Any) -> None:
+    time.sleep(SHORT_S)
+    targets = context.memory.target_by_name.values()
+    assert not any(target.runs for target in targets)
+
+
+@given("the store is down")
+def take_store_down(context: Any) -> None:
+    context.memory.store.down = True
+
+
+@given("the next {count:d} commits take effect without an answer")
+@when("each of the next {count:d} commits takes effect without an answer")
+def lose_answers(context: Any, count: int) -> None:
+    context.memory.store.lose = count
+
+
+@given("all commits are lost before their effect")
+def drop_all(context: Any) -> None:
+    context.memory.store.drop = 1_000
+
+
+@when("each of the next {count:d} commits is lost before its effect")
+def drop_commits(context: Any, count: int) -> None:
+    context.memory.store.drop = count
+
+
+@when("the lost commits take effect")
+def deliver(context: Any) -> None:
+    context.memory.store.drop = 0
+    context.memory.store.deliver_late()
+
+
+@then("b reads that the job exists")
+def check_exists(context: Any) -> None:
+    jobs = context.memory.jobs_by_name["b"]
+    assert jobs.results(JOB, 0, 0.0).total == len(context.job.items)
+
+
+def all_listed(context: Any, limit_s: float = LONG_S) -> list[ItemResult]:
+    name = next(iter(context.memory.jobs_by_name))
+    total = len(context.job.items)
+    wait_until(lambda: len(results(context, name)) == total, limit_s)
+    rows = results(context, name)
+    assert len(rows) == total, f"{len(rows)} of {total}"
+    names = [row.name for row in rows]
+    assert sorted(names) == sorted(i.name for i in context.job.items), names
+    return rows
+
+
+def check_whole(context: Any, rows: list[ItemResult]) -> None:
+    events = int(context.job.items[0].body)
+    for row in rows:
+        lines = [f"{row.name}-{n}" for n in range(1, events + 1)]
+        assert row.done and row.text == "\n".join(lines), row
+
+
+@then(
+    "all results of the job are listed with whole texts of version {version:d}"
+)
+def check_results(context: Any, version: int) -> None:
+    rows = all_listed(context)
+    check_whole(context, rows)
+    assert all(row.versions == (version,) for row in rows), rows
+
+
+@then("all results of the job are listed within {limit:g} s")
+def check_in_time(context: Any, limit: float) -> None:
+    check_whole(context, all_listed(context, limit))
+
+
+@then("all results of the job are listed as given up")
+def check_given_up(context: Any) -> None:
+    rows = all_listed(context)
+    assert not any(row.done or row.text for row in rows), rows
+
+
+@then("the results of the job are all listed, some as given up")
+def check_some_given_up(context: Any) -> None:
+    rows = all_listed(context)
+    assert any(not row.done for row in rows)
+    check_whole(context, [row for row in rows if row.done])
+
+
+@then("each sample ran {count:d} times")
+def check_runs(context: Any, count: int) -> None:
+    for item in context.job.items:
+        runs = [
+            after
+            for target in context.memory.target_by_name.values()
+            for after in target.runs.get(item.name, ())
+        ]
+        assert len(runs) == count, (item.name, runs)
+
+
+@then("every instance reads the same results from every position")
+def check_same(context: Any) -> None:
+    names = list(context.memory.jobs_by_name)
+    rows = results(context, names[0])
+    assert rows
+    for name in names:
+        for after in range(len(rows) + 1):
+            found = results(context, name, after)
+            assert found == rows[after:], (name, after)
+
+
+@then("only a holds the job")
+def check_holder(context: Any) -> None:
+    held = {
+        name: JOB in jobs._job_by_id
+        for name, jobs in context.memory.jobs_by_name.items()
+    }
+    assert held == {"a": True, "b": False, "c": False}, held
+
+
+@given("samples that are saved at once")
+def save_early(context: Any) -> None:
+    for target, name, value in (
+        (job_order, "SAVE_PERIOD_S", 0.05),
+        (job_order, "SAVE_EVENTS", 1),
+        (local_job, "SAVED_EVENTS", 1),
+    ):
+        patch = mock.patch.object(target, name, value)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@when("results of the job are read while it runs for {seconds:g} s")
+def read_some(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+    context.read_before = results(context, "c")
+
+
+@when("a is lost and b takes the job over")
+def lose_holder(context: Any) -> None:
+    context.memory.lose("a")
+    assert context.memory.jobs_by_name["b"].adopt(JOB)
+
+
+@then("what was read before has kept its positions")
+def check_kept(context: Any) -> None:
+    rows = results(context, "c")
+    count = len(context.read_before)
+    assert rows[:count] == context.read_before
+
+
+@then("samples went on from saved events")
+def check_resumed(context: Any) -> None:
+    resumed = [
+        after
+        for target in context.memory.target_by_name.values()
+        for runs in target.runs.values()
+        for after in runs
+        if after
+    ]
+    assert len(resumed) >= len(context.job.items) / 2, resumed
+
+
+@when("a is cut from the store and b takes the job over")
+def cut_holder(context: Any) -> None:
+    time.sleep(SHORT_S)
+    context.memory.views["a"].cut = True
+    context.old_job = context.memory.jobs_by_name["a"]._job_by_id[JOB]
+    assert context.memory.jobs_by_name["b"].adopt(JOB)
+
+
+@when("a reaches the store again")
+def heal_holder(context: Any) -> None:
+    time.sleep(SHORT_S)
+    context.memory.views["a"].cut = False
+
+
+@then("a holds the job no more")
+def check_fenced(context: Any) -> None:
+    assert wait_until(lambda: context.old_job.over, 3.0)
+    holder = context.memory.jobs_by_name["a"].held_by
+    member = context.memory.members["a"]
+    assert not holder(member, JOB)
+
+
+@when("a stops after {seconds:g} s")
+def stop_holder(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+    context.memory.jobs_by_name["a"].hand_over()
+    del context.memory.members["a"]
+    context.memory.jobs_by_name.pop("a").stop()
+
+
+@when("{name} ends the job")
+def end_job(context: Any, name: str) -> None:
+    context.memory.jobs_by_name[name].end(JOB)
+
+
+@when("a does not answer other instances")
+def silence_holder(context: Any) -> None:
+    address = context.memory.members["a"].address
+    context.memory.peers.dead.add(address)
+
+
+@then("no engine is at work within {limit:g} s")
+def check_idle(context: Any, limit: float) -> None:
+    targets = context.memory.target_by_name.values()
+    for wait_s in (limit, SHORT_S):
+        time.sleep(wait_s)
+        assert not any(target.running for target in targets)
+
+
+@given('engine {name} has the fault "{fault}"')
+def set_fault(context: Any, name: str, fault: str) -> None:
+    context.memory.target_by_name[name].fault = fault
+
+
+@given("engine {name} serves version {version:d}")
+def set_version(context: Any, name: str, version: int) -> None:
+    context.memory.target_by_name[name].version = version
+    context.memory.refresh()
+
+
+@given("engine {name} makes events {factor:d} times slower")
+def set_slow(context: Any, name: str, factor: int) -> None:
+    context.memory.target_by_name[name].event_s *= factor
+
+
+@then("{name} ran nothing")
+def check_unused(context: Any, name: str) -> None:
+    assert not context.memory.target_by_name[name].runs
+
+
+@when("b clears engine t0 for its load after {seconds:g} s")
+def clear(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+    assert context.memory.target_by_name["t0"].running
+    context.memory.jobs_by_name["b"].clear(["t0"], 30.0)
+
+
+@then("{name} is not at work")
+def check_left(context: Any, name: str) -> None:
+    assert not context.memory.target_by_name[name].running
+
+
+@when("its route is removed")
+def remove_route(context: Any) -> None:
+    context.memory.route = None
+
+
+@when("the job is deleted")
+def delete_job(context: Any) -> None:
+    jobs = context.memory.jobs_by_name["a"]
+    jobs._store.delete(JOB, monotonic() + LONG_S)
+
+
+@then("the store holds nothing of the job")
+def check_deleted(context: Any) -> None:
+    rows = context.memory.store.scan("", 0.0).values
+    assert not [row.key for row in rows if JOB in row.key]
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -17,6 +17,7 @@
 
 from hibiscuspin.clock import Clock, SystemClock
 from hibiscuspin.edges import TargetError, Wait
+from hibiscuspin.edges.http_response import StrictResponse
 from hibiscuspin.settings import Address
 
 __all__ = ["HttpAnswer", "HttpClient", "HttpStream", "says_draining"]
@@ -168,7 +169,8 @@
 
     def close(self) -> None:
         """Returns the connection to the pool if the answer was read whole."""
-        if self._response.isclosed():
+        surplus = getattr(self._response, "surplus", False)
+        if self._response.isclosed() and not surplus:
             self._client.give_back(self._connection, _idle_s(self.headers))
         else:
             self._client.discard(self._connection)
@@ -389,6 +391,7 @@
         raw = http.client.HTTPConnection(
             self._address.host, self._address.port, timeout=deadline - now
         )
+        raw.response_class = StrictResponse
         retire_at = now + MAX_CONNECTION_AGE_S
         return _Connection(raw, retire_at, retire_at)
 
--- a/hibiscuspin/tasks/http_server.py
+++ b/hibiscuspin/tasks/http_server.py
@@ -19,7 +19,7 @@
 from waitress.task import WSGITask
 
 from hibiscuspin.clock import monotonic
-from hibiscuspin.edges.channel import RECEIVE_TIMEOUT_S, Channel
+from hibiscuspin.edges.channel import Channel
 from hibiscuspin.logs import get_logger
 from hibiscuspin.settings import Address
 
@@ -52,10 +52,10 @@
 class ServerLimits(NamedTuple):
     """Bounds on what a client may send, and on its silence."""
 
-    header_bytes: int = MAX_HEADER_BYTES
-    body_bytes: int = MAX_BODY_BYTES
-    receive_timeout_s: float = RECEIVE_TIMEOUT_S
-    idle_timeout_s: float = CHANNEL_TIMEOUT_S
+    header_bytes: int
+    body_bytes: int
+    receive_timeout_s: float
+    idle_timeout_s: float
 
 
 class _Task(WSGITask):
@@ -84,7 +84,7 @@
         self._threads = threads
         self._draining = threading.Event()
         self._stop_by = 0.0
-        self._limits = ServerLimits()
+        self._limits: ServerLimits | None = None
         self._server: Any = None
 
     def limit(self, limits: ServerLimits) -> None:
@@ -95,6 +95,8 @@
 
     def _apply_limits(self, server: Any) -> None:
         limits = self._limits
+        if limits is None:
+            return
         server.adj.max_request_header_size = limits.header_bytes
         server.adj.max_request_body_size = limits.body_bytes
         server.adj.channel_timeout = limits.idle_timeout_s
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -205,6 +205,10 @@
                     break
         except FencedError as fenced:
             self._fence(fenced.current)
+        except Exception:
+            # The store has what was listed; whoever asks next finds it there.
+            self._fenced = True
+            _log.exception("Job failed.", extra={"job": self.contents.job})
         finally:
             self.finish()
 
