--- a/hibiscuspin/platform/batches.py
+++ b/hibiscuspin/platform/batches.py
@@ -1,6 +1,5 @@
 """Batch jobs as trainers send them, and results as they read them."""
 
-import binascii
 import re
 from base64 import b64decode
 from collections.abc import Sequence
@@ -53,7 +52,7 @@
             wanted_groups=int(raw.get("group_count") or 0),
             items=items,
         )
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except words.BAD_SHAPE as error:
         raise HibiscusError(
             ErrorKind.BAD_FIELD, f"A field is missing or malformed: {error!r}"
         ) from error
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -53,7 +53,7 @@
     try:
         raw = msgspec.json.decode(value.value)
         return _record(value.key.removeprefix(PREFIX), raw)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except words.BAD_SHAPE:
         return None
 
 
@@ -191,12 +191,15 @@
             headers={words.EXPECT_INSTANCE: self._name},
         )
         raw = _body(answer)
-        return TargetState(
-            _versions(raw),
-            bool(raw["busy"]),
-            int(raw["seq_no"]),
-            int(raw["running"]) + int(raw["waiting"]),
-        )
+        try:
+            return TargetState(
+                _versions(raw),
+                bool(raw["busy"]),
+                int(raw["seq_no"]),
+                int(raw["running"]) + int(raw["waiting"]),
+            )
+        except words.BAD_SHAPE as error:
+            raise TargetError(f"bad state: {error!r}", sent=True) from error
 
     def order(self, order: WeightOrder, deadline: float) -> OrderOutcome:
         """Gives an order."""
--- a/hibiscuspin/platform/operators.py
+++ b/hibiscuspin/platform/operators.py
@@ -35,7 +35,7 @@
         return None
     try:
         return _table(msgspec.json.decode(value.value))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except words.BAD_SHAPE as error:
         _log.error(
             "Configuration ignored.",
             extra={"revision": value.revision, "reason": repr(error)},
@@ -95,7 +95,7 @@
         try:
             raw = msgspec.json.decode(value.value)
             version_by_model[str(raw["model"])] = int(raw["version"])
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        except words.BAD_SHAPE as error:
             _log.error(
                 "Version ignored.", extra={"key": key, "reason": repr(error)}
             )
--- a/hibiscuspin/platform/store.py
+++ b/hibiscuspin/platform/store.py
@@ -143,7 +143,10 @@
 
 def _decoded(reply: StoreReply) -> Any:
     _check(reply)
-    return msgspec.json.decode(reply.body)
+    try:
+        return msgspec.json.decode(reply.body)
+    except msgspec.DecodeError as error:
+        raise StoreError(f"bad answer of the store: {error}", None) from error
 
 
 def _value(raw: dict[str, Any]) -> StoredValue:
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -4,6 +4,7 @@
 """
 
 __all__ = [
+    "BAD_SHAPE",
     "BODY_TYPE",
     "BOOT_VARIABLE",
     "DEADLINE",
@@ -21,8 +22,22 @@
     "WAIT",
 ]
 
+import binascii
+
+import msgspec
+
 from hibiscuspin.decisions.routes import CallKind
 
+# What decoding raises where a body has another form than its page says.
+BAD_SHAPE = (
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    binascii.Error,
+    msgspec.DecodeError,
+)
+
 BOOT_VARIABLE = "HIBISCUSPIN_BOOT"
 BODY_TYPE = "application/json"
 
