Load half of the engines for a version under pressure, and order by urgency

Samples that leave an engine wait behind new ones.

Change: holders tell how many samples they have open when they clear engines; where these need over 60 % of the places, only engines two versions behind and half in all load, the rest when no newer version comes for 6 s. Begun samples and older steps are sent as more urgent.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -177,3 +177,29 @@
       | 1        | 9.0    | 3      | 0 1 direct |
       | 1        | 8.0    | 3      | direct 0 1 |
       | 1        | 9.0    | 0      | direct    |
+
+  Scenario Outline: under pressure only half of the engines load for a version
+    Given engines "<engines>"
+    When version 3 is wanted under pressure and "<loading>" loads
+    Then the engines "<names>" load next
+
+    Examples:
+      | engines                     | loading | names |
+      | a:2,0 b:2,0 c:2,0 d:2,0     | none    | a b   |
+      | a:3,0 b:2,0 c:2,0 d:2,0     | none    | b     |
+      | a:3,0 b:3,0 c:2,0 d:2,0     | none    |       |
+      | a:3,0 b:1,0 c:1,0 d:2,0     | none    | b c   |
+      | a:3,0 b:3,0 c:1,0 d:1,0     | c       | d     |
+      | a:3,0 b:3,0 c:3,0 d:1,0     | none    | d     |
+
+  Scenario: open samples press where they need most of the places
+    Then 43 samples before 72 places don't press and 44 do
+
+  Scenario Outline: what was begun goes before what was not
+    Then a sample with <events> events of a step <age> s old has urgency <urgency>
+
+    Examples:
+      | events | age | urgency |
+      | 5      | 1   | 2       |
+      | 0      | 5   | 4       |
+      | 0      | 1   | 5       |
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -419,3 +419,30 @@
 def check_ways(context: Any, ways: str) -> None:
     found = ["direct" if way is None else str(way) for way in context.ways]
     assert found == ways.split(), found
+
+
+@when('version {wanted:d} is wanted under pressure and "{loading}" loads')
+def choose_pressed(context: Any, wanted: int, loading: str) -> None:
+    context.loads = weight_orders.next_engines(
+        wanted, context.engines, loading.split(), pressed=True
+    )
+
+
+@then('the engines "" load next')
+def check_no_loads(context: Any) -> None:
+    assert not context.loads, context.loads
+
+
+@then("{few:d} samples before {places:d} places don't press and {many:d} do")
+def check_pressed(context: Any, few: int, places: int, many: int) -> None:
+    assert not weight_orders.is_pressed(few, places)
+    assert weight_orders.is_pressed(many, places)
+
+
+@then(
+    "a sample with {events:d} events of a step {age:g} s old has urgency "
+    "{urgency:d}"
+)
+def check_urgency(context: Any, events: int, age: float, urgency: int) -> None:
+    made = [samples.Made(n, "", 1) for n in range(events)]
+    assert samples.urgency(made, age) == urgency
--- a/hibiscuspin/decisions/samples.py
+++ b/hibiscuspin/decisions/samples.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 __all__ = [
-    "MADE_AGAIN_LIMIT",
     "End",
     "Made",
     "Next",
@@ -17,6 +16,7 @@
     "after_run",
     "kept_events",
     "stragglers",
+    "urgency",
     "versions_of",
 ]
 
@@ -25,7 +25,11 @@
 SLOW_FACTOR = 1.8
 # A move is not worth its call when fewer events are left.
 LEAST_EVENTS_LEFT = 6
-MADE_AGAIN_LIMIT = 20
+# A trainer asks for the next step 4 s after the last.
+OLD_STEP_S = 4.0
+BEGUN_URGENCY = 2
+OLD_URGENCY = 4
+USUAL_URGENCY = 5
 
 
 class Made(NamedTuple):
@@ -95,6 +99,17 @@
     return list(made)
 
 
+def urgency(made: Sequence[Made], age_s: float) -> int:
+    """Returns how urgent a run is, 0 for the most urgent.
+
+    What was begun goes before what was not, since its step waits for it
+    longest; an older step goes before the one after it.
+    """
+    if made:
+        return BEGUN_URGENCY
+    return OLD_URGENCY if age_s >= OLD_STEP_S else USUAL_URGENCY
+
+
 def versions_of(made: Sequence[Made]) -> tuple[int, ...]:
     """Returns the weights that made a sample, each once, the oldest first."""
     return tuple(sorted({event.version for event in made}))
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -52,6 +52,7 @@
         target: Path and query, byte for byte.
         headers: All headers but those of one connection, by name.
         body: The whole body.
+        urgency: From 0 for first to 9; None for the target's usual.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     target: str
     headers: Mapping[str, str]
     body: bytes
+    urgency: int | None = None
 
 
 class PassedAnswer(NamedTuple):
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -138,6 +138,8 @@
         fresh: bool = False,
     ) -> HttpStream:
         left_s = deadline - self._clock.monotonic()
+        if call.urgency is not None:
+            extra = {**extra, words.URGENCY: str(call.urgency)}
         headers = {
             **call.headers,
             **extra,
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -475,16 +475,20 @@
             return False
         return msgspec.msgpack.decode(body, type=bool)
 
-    def clear(self, names: list[str], hold_s: float) -> None:
+    def clear(self, names: list[str], hold_s: float) -> int:
         """Has all holders of jobs move their samples off some targets.
 
         Args:
             names: The targets, which are about to load weights.
             hold_s: How long they get no new samples unless released.
+
+        Returns:
+            How many samples run or wait to run, as far as holders answered.
         """
         call = msgspec.msgpack.encode(_ClearCall(names, hold_s))
-        self._tell_holders(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
-        self._serve_clear(call)
+        replies = self._tell_holders(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
+        replies.append(self._serve_clear(call))
+        return sum(msgspec.msgpack.decode(body, type=int) for body in replies)
 
     def release(self, name: str, model: str, version: int) -> None:
         """Tells all holders of jobs that a target has loaded weights."""
@@ -492,27 +496,33 @@
         self._tell_holders(RELEASE_METHOD, call, PEER_TIMEOUT_S)
         self._serve_release(call)
 
-    def _tell_holders(self, method: str, call: bytes, timeout_s: float) -> None:
+    def _tell_holders(
+        self, method: str, call: bytes, timeout_s: float
+    ) -> list[bytes]:
         futures = [
             self._calls.submit(
                 self._peers.call, member.address, method, call, timeout_s
             )
             for member in self._instances.others()
         ]
+        replies = []
         for future in futures:
             try:
-                future.result()
+                replies.append(future.result())
             except (PeerUnreachableError, HibiscusError) as error:
                 _log.info("Holder not told.", extra={"reason": str(error)})
+        return replies
 
     def _serve_clear(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_ClearCall)
         now = self._clock.monotonic()
         self._tools.targets.hold(call.names, now + call.hold_s)
+        count = 0
         for local in list(self._job_by_id.values()):
             if not local.over:
                 local.leave_targets(call.names, now + CLEAR_S)
-        return b""
+                count += local.open_samples()
+        return msgspec.msgpack.encode(count)
 
     def _serve_release(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_ReleaseCall)
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -125,9 +125,10 @@
         )
         self._writing = False
         age_s = max(0.0, self._clock.wall() - stored.head["submitted_at"])
-        submitted = self._clock.monotonic() - age_s
-        self._due_at = submitted + route.result_due_s + DUE_GRACE_S
-        self._given_up_at = submitted + route.keep_s
+        self._submitted_at = self._clock.monotonic() - age_s
+        due_s = route.result_due_s + DUE_GRACE_S
+        self._due_at = self._submitted_at + due_s
+        self._given_up_at = self._submitted_at + route.keep_s
         self._committed_at = 0.0
         self._retry_at = 0.0
         self._saved_at = self._clock.monotonic()
@@ -235,6 +236,10 @@
         runs = [sample.run for sample in self._samples]
         return [run for run in runs if run and run.target.name in names]
 
+    def open_samples(self) -> int:
+        """Returns how many samples run or wait to run."""
+        return sum(not sample.finished for sample in self._samples)
+
     def pause(self) -> dict[str, list[samples.Made]]:
         """Stops all work for a handover.
 
@@ -416,6 +421,7 @@
             self.contents.model,
             self.contents.oldest_version,
             self._route.single_version,
+            self._submitted_at,
             self._given_up_at,
             self._over.is_set,
         )
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions.samples import End, Made, kept_events
+from hibiscuspin.decisions.samples import End, Made, kept_events, urgency
 from hibiscuspin.edges import TargetError, Wait
 from hibiscuspin.edges.discovery import Event, EventStream, PassedCall
 from hibiscuspin.logs import get_logger
@@ -51,6 +51,7 @@
         model: The model.
         oldest_version: The oldest weights that may make a sample.
         single_version: Whether a sample must have one version only.
+        submitted_at: When the job was submitted.
         deadline: When samples are given up.
         over: Whether the job needs no more runs.
     """
@@ -59,6 +60,7 @@
     model: str
     oldest_version: int
     single_version: bool
+    submitted_at: float
     deadline: float
     over: Callable[[], bool]
 
@@ -116,7 +118,15 @@
     def _call(self) -> PassedCall:
         item = self.sample.item
         headers: Mapping[str, str] = {**item.headers, "Host": self._limits.host}
-        return PassedCall(item.name, "POST", item.target, headers, item.body)
+        age_s = self._clock.monotonic() - self._limits.submitted_at
+        return PassedCall(
+            item.name,
+            "POST",
+            item.target,
+            headers,
+            item.body,
+            urgency(self.sample.made, age_s),
+        )
 
     def _wait(self, stall_s: float) -> Wait:
         return Wait(self._limits.deadline, stall_s, self._check)
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -67,6 +67,7 @@
         self._finish_first = finish_first
         self._clock = clock
         self._loading: set[str] = set()
+        self._pressed_until_by_model: dict[str, tuple[int, float]] = {}
         self._loads = ThreadPoolExecutor(
             LOAD_THREADS, thread_name_prefix="load"
         )
@@ -95,24 +96,38 @@
             EngineView(name, target.version(model), target.open_calls)
             for name, target in by_name.items()
         ]
-        names = weight_orders.next_engines(wanted, views, self._loading)
+        names = weight_orders.next_engines(
+            wanted, views, self._loading, self._is_pressed(model, wanted)
+        )
         if not names:
             return
         self._loading.update(names)
+        places = sum(target.record.slots for target in by_name.values())
         self._loads.submit(
-            self._clear_and_load, names, model, wanted, term, stop
+            self._clear_and_load, names, places, model, wanted, term, stop
         )
 
+    def _is_pressed(self, model: str, wanted: int) -> bool:
+        version, until = self._pressed_until_by_model.get(model, (0, 0.0))
+        return self._clock.monotonic() < until and version >= wanted - 1
+
     def _clear_and_load(
         self,
         names: list[str],
+        places: int,
         model: str,
         wanted: int,
         term: Term,
         stop: threading.Event,
     ) -> None:
         try:
-            self._jobs.clear(names, HOLD_S)
+            samples = self._jobs.clear(names, HOLD_S)
+            until = self._clock.monotonic() + weight_orders.CATCH_UP_S
+            pressed = weight_orders.is_pressed(samples, places)
+            self._pressed_until_by_model[model] = (
+                wanted,
+                until if pressed else 0.0,
+            )
         except Exception:
             _log.exception("Engines not cleared.")
         for name in names:
