--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -275,7 +275,8 @@
         events: list[Event] = []
         while self._next <= self._last and self._is_made():
             data = f"{self._name}-{self._next}"
-            events.append(Event(b"", self._next, data, target.version))
+            raw = b"%d\n" % self._next
+            events.append(Event(raw, self._next, data, target.version))
             self._next += 1
             self._made += 1
             self._next_at += target.event_s
