Run instances on stand-ins of the platform, and end waits at a planned stop

A stop ends waiting watches and writes the last log lines. One log line a call, with targets, time and the age of the list; the metrics' port can be set.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -172,7 +172,7 @@
         """Starts a stand-in and returns its address."""
         address = self.addresses_by_name.get(name) or free_address()
         argv = ["-m", f"standins.{module}", "--address", str(address), *flags]
-        self.standins_by_name[name] = self._start(name, argv)
+        self.standins_by_name[name] = self.spawn(name, argv)
         self.addresses_by_name[name] = address
         return address
 
@@ -246,7 +246,7 @@
         instance = Instance(
             name,
             data_centre,
-            self._start(name, [*argv, *flags]),
+            self.spawn(name, [*argv, *flags]),
             HttpClient(addresses["caller"]),
             HttpClient(addresses["trainer"]),
             HttpClient(addresses["admin"]),
@@ -350,7 +350,8 @@
                     f"start of {instance.name}'s {kind} interface",
                 )
 
-    def _start(self, name: str, argv: Sequence[str]) -> Process:
+    def spawn(self, name: str, argv: Sequence[str]) -> Process:
+        """Starts a process that ends with the fleet."""
         process = Process(name, argv, self._folder)
         self._processes.append(process)
         return process
--- /dev/null
+++ b/bench/platform_fleet.py
@@ -0,0 +1,341 @@
+"""Starts instances on the platform's stand-ins, as processes on loopback."""
+
+import base64
+import contextlib
+import os
+import pathlib
+import time
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+import yaml
+
+from bench.fleet import Fleet, Process, free_address, wait_for
+from hibiscuspin.clock import monotonic
+from hibiscuspin.edges import TargetError
+from hibiscuspin.edges.http import HttpAnswer, HttpClient
+from hibiscuspin.settings import Address
+
+__all__ = ["HOST", "MODEL", "PlatformFleet", "PlatformInstance"]
+
+HOST = "h.example"
+MODEL = "m1"
+JOBS = "/jobs/"
+CALLS = "/calls/"
+GRACE_S = 8
+CALL_S = 10.0
+START_S = 20.0
+DATA_CENTRES = ("cba-a", "cba-b")
+
+
+class PlatformInstance(NamedTuple):
+    """One instance and how to reach it."""
+
+    name: str
+    process: Process
+    caller: HttpClient
+    ready: HttpClient
+    boot_path: pathlib.Path
+
+
+class PlatformFleet:
+    """A store, targets and instances."""
+
+    def __init__(self, fleet: Fleet, folder: str) -> None:
+        self._fleet = fleet
+        self._folder = pathlib.Path(folder)
+        self._config_version = 0
+        self.instance_by_name: dict[str, PlatformInstance] = {}
+        self._address_by_key: dict[str, Address] = {}
+        self.store = self._fleet.standin("platform_store", "store")
+        self._store_client = HttpClient(self.store)
+
+    @classmethod
+    @contextlib.contextmanager
+    def running(
+        cls, folder: str, engines: int = 3, instances: int = 2
+    ) -> Iterator["PlatformFleet"]:
+        """Yields a fleet that serves, and ends its processes afterwards."""
+        with Fleet.running() as fleet:
+            platform = cls(fleet, folder)
+            platform.wait_store()
+            for number in range(engines):
+                platform.engine(f"e-{number}", "llm", MODEL)
+            for number in range(2):
+                platform.engine(f"p-{number}", "app", "")
+            platform.configure()
+            for number in range(instances):
+                platform.start(f"edge-{number}")
+            platform.wait_ready()
+            yield platform
+
+    def wait_store(self) -> None:
+        """Waits until the store answers."""
+        wait_for(self._store_answers, START_S, "the store's start")
+
+    def _store_answers(self) -> bool:
+        try:
+            path = "/hibiscuspin/kv-range?prefix=x"
+            self._store_client.request("GET", path, monotonic() + 1.0)
+        except TargetError:
+            return False
+        return True
+
+    def put(self, key: str, value: object) -> None:
+        """Writes a key as the operator does."""
+        encoded = base64.b64encode(msgspec.json.encode(value)).decode()
+        body = {"writes": [{"key": key, "value": encoded}]}
+        self._store_client.request(
+            "POST",
+            "/hibiscuspin/kv-txn",
+            monotonic() + CALL_S,
+            body=msgspec.json.encode(body),
+        )
+
+    def faults(self, name: str, **faults: Any) -> None:
+        """Sets the faults of a stand-in; none heals it."""
+        address = self._fleet.addresses_by_name[name]
+        body = msgspec.json.encode(faults)
+        HttpClient(address).request(
+            "PUT", "/faults", monotonic() + CALL_S, body=body
+        )
+
+    def engine(self, name: str, service: str, model: str) -> None:
+        """Starts a target."""
+        flags = ["--name", name, "--service", service, "--zone", "cba-a"]
+        flags += ["--store", str(self.store), "--model", model]
+        self._fleet.standin("platform_engine", name, *flags)
+
+    def kill_engine(self, name: str) -> None:
+        """Kills a target."""
+        self._fleet.standins_by_name[name].kill()
+
+    def engine_runs(self, name: str) -> list[dict[str, Any]]:
+        """Returns what a target has run."""
+        client = HttpClient(self._fleet.addresses_by_name[name])
+        answer = client.request("GET", "/runs", monotonic() + CALL_S)
+        runs: list[dict[str, Any]] = msgspec.json.decode(answer.body)
+        return runs
+
+    def drain_engine(self, name: str) -> None:
+        """Has a target report that it is leaving."""
+        client = HttpClient(self._fleet.addresses_by_name[name])
+        client.request("POST", "/drain", monotonic() + CALL_S)
+
+    def configure(self, **extra_routes: str) -> int:
+        """Writes the next configuration; returns its version.
+
+        Args:
+            extra_routes: Services of further routes by their first segment.
+        """
+        self._config_version += 3
+        calls = {"calls": "app", **extra_routes}
+        routes = [_call_route(name, service) for name, service in calls.items()]
+        self.put(
+            "op/config",
+            {
+                "version": self._config_version,
+                "routes": [_JOB_ROUTE, *routes],
+                "services": [
+                    {"name": "llm", "engine": {"stride": 1}},
+                    {"name": "app"},
+                ],
+                "limits": {
+                    "max_header_bytes": 16384,
+                    "max_body_bytes": 1 << 25,
+                    "header_timeout_ms": 3000,
+                    "idle_timeout_ms": 15000,
+                },
+            },
+        )
+        return self._config_version
+
+    def start(self, name: str) -> PlatformInstance:
+        """Starts an instance, at its old addresses if it was there."""
+        path = self._folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self._boot(name)))
+        process = self._spawn(name, path)
+        instance = PlatformInstance(
+            name,
+            process,
+            HttpClient(self._address(name, "front")),
+            HttpClient(self._address(name, "ready")),
+            path,
+        )
+        self.instance_by_name[name] = instance
+        return instance
+
+    def _spawn(self, name: str, path: pathlib.Path) -> Process:
+        environ = {
+            "HIBISCUSPIN_BOOT": str(path),
+            "HIBISCUSPIN_METRICS_PORT": str(self.metrics_address(name).port),
+        }
+        os.environ.update(environ)
+        try:
+            argv = ["-m", "hibiscuspin.platform"]
+            return self._fleet.spawn(name, argv)
+        finally:
+            for variable in environ:
+                del os.environ[variable]
+
+    def metrics_address(self, name: str) -> Address:
+        """Returns where an instance shows its metrics."""
+        return self._address(name, "metrics")
+
+    def _address(self, name: str, use: str) -> Address:
+        key = f"{name} {use}"
+        if key not in self._address_by_key:
+            self._address_by_key[key] = free_address()
+        return self._address_by_key[key]
+
+    def _boot(self, name: str) -> dict[str, Any]:
+        number = int(name.rpartition("-")[2])
+        peer = self._address(name, "peer")
+        return {
+            "node_name": name,
+            "ip": peer.host,
+            "zone": DATA_CENTRES[number % len(DATA_CENTRES)],
+            "zones": dict.fromkeys(DATA_CENTRES, "ar-centro"),
+            "listen": {
+                "front": str(self._address(name, "front")),
+                "readiness": str(self._address(name, "ready")),
+            },
+            "internal_ports": [peer.port, peer.port],
+            "bounds": {
+                "drain_ms": 2500,
+                "grace_s": GRACE_S,
+                "status_s": 120,
+                "lease_ms": 1000,
+            },
+            "platform": {"address": str(self.store)},
+        }
+
+    def wait_ready(self) -> None:
+        """Waits until all instances are ready."""
+        for instance in self.instance_by_name.values():
+            wait_for(
+                lambda instance=instance: self.is_ready(instance),  # type: ignore[misc]
+                START_S,
+                f"{instance.name} being ready",
+            )
+
+    def is_ready(self, instance: PlatformInstance) -> bool:
+        """Asks an instance whether it is ready."""
+        try:
+            answer = instance.ready.request(
+                "GET", "/hibiscuspin/ready", monotonic() + 1.0
+            )
+        except TargetError:
+            return False
+        return answer.status == 200
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Sends one request of a client."""
+        return self.instance_by_name[name].caller.request(
+            method,
+            path,
+            monotonic() + CALL_S,
+            body=body,
+            headers={
+                "Host": HOST,
+                "X-Request-Id": request_id,
+                "X-Deadline-Ms": "5000",
+                **(headers or {}),
+            },
+        )
+
+    def submit(
+        self, name: str, job: str, groups: int, size: int, events: int
+    ) -> int:
+        """Sends a batch job; returns the answer's status."""
+        items = [
+            {
+                "id": f"{job}-{group}-{item}",
+                "path": f"{JOBS}x",
+                "headers": {"X-Model": MODEL, "X-Token-Count": f"9,{events}"},
+                "body": base64.b64encode(b"prompt").decode(),
+                "tokens": 9 + events,
+                "group": f"g{group}",
+            }
+            for group in range(groups)
+            for item in range(size)
+        ]
+        body = msgspec.json.encode(
+            {
+                "step": 0,
+                "model": MODEL,
+                "min_version": 1,
+                "group_count": groups,
+                "items": items,
+            }
+        )
+        return self.call(name, "POST", f"{JOBS}x", job, body).status
+
+    def results(
+        self, name: str, job: str, after: int = 0, wait_ms: int = 500
+    ) -> dict[str, Any]:
+        """Reads results of a job."""
+        path = f"/hibiscuspin/lots/{job}?after={after}"
+        headers = {"X-Wait-Ms": str(wait_ms)}
+        answer = self.call(name, "GET", path, "r", None, headers)
+        if answer.status != 200:
+            return {"status": answer.status, "results": []}
+        body: dict[str, Any] = msgspec.json.decode(answer.body)
+        return body
+
+    def all_results(
+        self, name: str, job: str, limit_s: float
+    ) -> list[dict[str, Any]]:
+        """Reads a job's results until all are there or the time is up."""
+        rows: list[dict[str, Any]] = []
+        end = monotonic() + limit_s
+        while monotonic() < end:
+            try:
+                page = self.results(name, job, len(rows))
+            except TargetError:
+                time.sleep(0.1)
+                continue
+            rows += page["results"]
+            if len(rows) == page.get("total"):
+                break
+            if not page["results"]:
+                time.sleep(0.05)
+        return rows
+
+
+_JOB_ROUTE = {
+    "name": "jobs",
+    "host": HOST,
+    "prefix": JOBS,
+    "type": "sampling",
+    "timeout_ms": 10000,
+    "slo_ms": 500,
+    "service": "llm",
+    "max_attempts": 3,
+    "queue_ttl_s": 40,
+    "due_ms": 7500,
+    "single_version": False,
+    "resumable": True,
+}
+
+
+def _call_route(name: str, service: str) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "type": "idempotent",
+        "timeout_ms": 2500,
+        "slo_ms": 300,
+        "service": service,
+        "max_attempts": 2,
+    }
--- a/features/environment.py
+++ b/features/environment.py
@@ -3,13 +3,20 @@
 A feature tagged `@fleet` shares one running fleet; others run in-process.
 """
 
+import tempfile
 from typing import Any
 
 from bench.fleet import Fleet
+from bench.platform_fleet import PlatformFleet
 
 
 def before_feature(context: Any, feature: Any) -> None:
     """Starts the fleet of a feature."""
+    if "platform" in feature.tags:
+        context.platform_folder = tempfile.TemporaryDirectory()
+        folder = context.platform_folder.name
+        context.fleet_manager = PlatformFleet.running(folder)
+        context.platform = context.fleet_manager.__enter__()
     if "fleet" not in feature.tags:
         return
     context.fleet_manager = Fleet.running()
@@ -26,8 +33,10 @@
 
 def after_feature(context: Any, feature: Any) -> None:
     """Ends the fleet of a feature."""
-    if "fleet" in feature.tags:
+    if "fleet" in feature.tags or "platform" in feature.tags:
         context.fleet_manager.__exit__(None, None, None)
+    if "platform" in feature.tags:
+        context.platform_folder.cleanup()
 
 
 def after_scenario(context: Any, scenario: Any) -> None:
--- /dev/null
+++ b/features/steps/platform_fleet_steps.py
@@ -0,0 +1,314 @@
+"""Steps on instances before the platform's stand-ins, as processes."""
+
+import signal
+import threading
+import time
+from collections import Counter
+from typing import Any
+
+import msgspec
+import yaml
+from behave import then, when
+
+from bench.fleet import wait_for
+from bench.platform_fleet import MODEL, PlatformFleet
+from hibiscuspin.clock import monotonic
+from hibiscuspin.edges import TargetError
+from hibiscuspin.edges.http import HttpClient
+
+READ_S = 20.0
+
+
+def fleet(context: Any) -> PlatformFleet:
+    platform: PlatformFleet = context.platform
+    return platform
+
+
+@when('a client sends "{method} {target}" to {name}')
+def send(context: Any, method: str, target: str, name: str) -> None:
+    context.reply = fleet(context).call(name, method, target, "req-1")
+
+
+@when('a client with id "{request_id}" sends "{method} {target}" to {name}')
+def send_as(
+    context: Any, method: str, target: str, name: str, request_id: str
+) -> None:
+    context.reply = fleet(context).call(name, method, target, request_id)
+    context.sent_to = name
+
+
+@then("the client gets 200 with the target's signature and its own id")
+def check_reply(context: Any) -> None:
+    reply = context.reply
+    assert reply.status == 200 and reply.headers["X-Server-Stamp"], reply
+    assert reply.headers["X-Request-Id"] == "req-1"
+    assert msgspec.json.decode(reply.body)["id"] == "req-1"
+
+
+@then("the client gets {status:d} without a signature")
+def check_refusal(context: Any, status: int) -> None:
+    assert context.reply.status == status, context.reply
+    assert "X-Server-Stamp" not in context.reply.headers
+
+
+@when('a route "{name}" is added')
+def add_route(context: Any, name: str) -> None:
+    fleet(context).configure(**{name: "app"})
+
+
+@then('all instances serve "{path}" within {limit:g} s')
+def check_served(context: Any, path: str, limit: float) -> None:
+    platform = fleet(context)
+    for name in platform.instance_by_name:
+        wait_for(
+            lambda name=name: (  # type: ignore[misc]
+                platform.call(name, "POST", path, "s").status == 200
+            ),
+            limit,
+            f"{path} at {name}",
+        )
+
+
+@when("entries of other writers are put beside the targets")
+def put_odd_entries(context: Any) -> None:
+    entries: tuple[Any, ...] = ({}, [], "x", {"service": 3}, None)
+    for number, entry in enumerate(entries):
+        fleet(context).put(f"servers/odd-{number}", entry)
+
+
+@when(
+    'job "{job}" of {groups:d} groups of {size:d} samples with {events:d} '
+    "events is sent to {name}"
+)
+def submit(
+    context: Any, job: str, groups: int, size: int, events: int, name: str
+) -> None:
+    context.job_id, context.job_events = job, events
+    context.job_size = groups * size
+    status = fleet(context).submit(name, job, groups, size, events)
+    assert status == 202, status
+
+
+def check_whole(context: Any, rows: list[dict[str, Any]]) -> None:
+    assert len(rows) == context.job_size, len(rows)
+    assert len({row["id"] for row in rows}) == context.job_size
+    for row in rows:
+        lines = [f"{row['id']}-{n + 1}" for n in range(context.job_events)]
+        assert row["state"] == "completed", row
+        assert row["text"] == "\n".join(lines), row
+
+
+@then("all its results are read whole at every instance")
+def check_results(context: Any) -> None:
+    platform = fleet(context)
+    pages = [
+        platform.all_results(name, context.job_id, READ_S)
+        for name in platform.instance_by_name
+    ]
+    check_whole(context, pages[0])
+    assert all(page == pages[0] for page in pages)
+
+
+@then("all its results are read whole at {name} within {limit:g} s")
+def check_results_at(context: Any, name: str, limit: float) -> None:
+    rows = fleet(context).all_results(name, context.job_id, limit)
+    check_whole(context, rows)
+
+
+@then("the body of an item is given by {name} until the job ends")
+def check_body(context: Any, name: str) -> None:
+    platform = fleet(context)
+    job = context.job_id
+    path = f"/hibiscuspin/items/{job}?id={job}-0-0"
+    reply = platform.call(name, "GET", path, "b")
+    assert (reply.status, reply.body) == (200, b"prompt"), reply
+    end = f"/hibiscuspin/lots/{job}"
+    for _ in range(2):
+        assert platform.call(name, "DELETE", end, "e").status == 200
+    assert platform.call(name, "GET", path, "b").status == 404
+    rows = platform.all_results(name, job, READ_S)
+    check_whole(context, rows)
+
+
+@when("version {version:d} of the model is named")
+def name_version(context: Any, version: int) -> None:
+    value = {"model": MODEL, "version": version}
+    fleet(context).put(f"op/version/{MODEL}", value)
+
+
+def orders(context: Any) -> list[dict[str, Any]]:
+    return [
+        row["order"]
+        for number in range(3)
+        for row in fleet(context).engine_runs(f"e-{number}")
+        if "order" in row
+    ]
+
+
+@then("all engines serve version {version:d} within {limit:g} s")
+def check_version(context: Any, version: int, limit: float) -> None:
+    wait_for(lambda: len(orders(context)) == 3, limit, "orders to all")
+    assert all(order["version"] == version for order in orders(context))
+
+
+@then("each engine got orders of one holder with one fencing number")
+def check_orders(context: Any) -> None:
+    givers = {(o["holder"], o["fence_token"]) for o in orders(context)}
+    assert len(givers) == 1, givers
+
+
+@when("{name} is killed after {seconds:g} s")
+def kill(context: Any, name: str, seconds: float) -> None:
+    time.sleep(seconds)
+    fleet(context).instance_by_name[name].process.kill()
+
+
+@then("{name} is started again")
+def start_again(context: Any, name: str) -> None:
+    fleet(context).start(name)
+    fleet(context).wait_ready()
+
+
+@when("all instances are killed and started again")
+def kill_all(context: Any) -> None:
+    platform = fleet(context)
+    for instance in platform.instance_by_name.values():
+        instance.process.kill()
+    for name in list(platform.instance_by_name):
+        platform.start(name)
+    platform.wait_ready()
+
+
+@when("clients call {name} while it is stopped")
+def call_while_stopped(context: Any, name: str) -> None:
+    platform = fleet(context)
+    instance = platform.instance_by_name[name]
+    seen: Counter[str] = Counter()
+
+    def run() -> None:
+        while True:
+            try:
+                reply = platform.call(name, "POST", "/calls/x", "c")
+                seen["ok" if reply.status == 200 else "refused"] += 1
+            except TargetError as error:
+                if not error.sent:
+                    return
+                seen["cut"] += 1
+            time.sleep(0.02)
+
+    threads = [threading.Thread(target=run) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    started = monotonic()
+    instance.process.send(signal.SIGTERM)
+    for thread in threads:
+        thread.join()
+    context.exit_code = instance.process.stop()
+    context.stop_s = monotonic() - started
+    context.stop_seen = seen
+
+
+@then("no call was cut and the process ended within {limit:g} s")
+def check_stop(context: Any, limit: float) -> None:
+    seen = context.stop_seen
+    assert seen["ok"] > 50 and not seen["cut"], seen
+    assert not seen["refused"], seen
+    assert context.exit_code == 0 and context.stop_s < limit
+
+
+@when("the key-value service forgets its history")
+def compact(context: Any) -> None:
+    client = HttpClient(fleet(context).store)
+    client.request("POST", "/compact", monotonic() + 5.0)
+
+
+@when("the key-value service turns all callers away")
+def take_store_out(context: Any) -> None:
+    fleet(context).faults("store", status=503)
+
+
+@when("the key-value service is back")
+def heal_store(context: Any) -> None:
+    fleet(context).faults("store")
+
+
+@then("a job is refused with 503 by {name}")
+def check_job_refused(context: Any, name: str) -> None:
+    status = fleet(context).submit(name, "refused-1", 1, 1, 5)
+    assert status == 503, status
+
+
+@then('a job "{job}" is accepted by {name} within {limit:g} s')
+def check_accepted(context: Any, job: str, name: str, limit: float) -> None:
+    wait_for(
+        lambda: fleet(context).submit(name, job, 1, 2, 5) == 202,
+        limit,
+        "acceptance",
+    )
+
+
+@when("target {name} reports that it is leaving")
+def drain(context: Any, name: str) -> None:
+    fleet(context).drain_engine(name)
+
+
+@then("it gets no call from {seconds:g} s later on")
+def check_drained(context: Any, seconds: float) -> None:
+    platform = fleet(context)
+    time.sleep(seconds)
+    before = len(platform.engine_runs("p-0"))
+    for number in range(20):
+        name = f"edge-{number % 2}"
+        assert platform.call(name, "POST", "/calls/x", "d").status == 200
+    assert len(platform.engine_runs("p-0")) == before
+
+
+@when("the settings file of {name} changes")
+def change_settings(context: Any, name: str) -> None:
+    path = fleet(context).instance_by_name[name].boot_path
+    raw = yaml.safe_load(path.read_text())
+    raw["bounds"]["grace_s"] = 9
+    path.write_text(yaml.safe_dump(raw))
+    context.sent_to = name
+
+
+def log_lines(context: Any, name: str) -> list[dict[str, Any]]:
+    path = fleet(context).instance_by_name[name].process.log_path
+    rows = []
+    for line in path.read_text().splitlines():
+        if line.startswith("{"):
+            rows.append(msgspec.json.decode(line))
+    return rows
+
+
+@then("its log shows the reload within {limit:g} s")
+def check_reload(context: Any, limit: float) -> None:
+    def reloaded() -> bool:
+        return any(
+            row["message"] == "DAEMON: Settings reloaded."
+            and row["changed"] == ["grace_s"]
+            for row in log_lines(context, context.sent_to)
+        )
+
+    wait_for(reloaded, limit, "the reload")
+
+
+@then('the log of {name} has a line on "{request_id}" with its target')
+def check_log(context: Any, name: str, request_id: str) -> None:
+    def logged() -> bool:
+        return any(
+            row.get("request_id") == request_id and row.get("targets")
+            for row in log_lines(context, name)
+        )
+
+    wait_for(logged, 5.0, "the line")
+
+
+@then("the metrics of {name} count the call")
+def check_metrics(context: Any, name: str) -> None:
+    client = HttpClient(fleet(context).metrics_address(name))
+    answer = client.request("GET", "/metrics", monotonic() + 5.0)
+    text = answer.body.decode()
+    assert 'hibiscuspin_requests_total{code="200",path="call"}' in text, text
+    assert 'hibiscuspin_latency_seconds_count{path="call"}' in text, text
--- a/hibiscuspin/logs.py
+++ b/hibiscuspin/logs.py
@@ -5,6 +5,7 @@
 full, or that repeat too often, are counted and left out.
 """
 
+import atexit
 import logging
 import logging.handlers
 import queue
@@ -126,7 +127,9 @@
     lines: queue.Queue[logging.LogRecord] = queue.Queue(QUEUE_LINES)
     handler = _QueueHandler(lines)
     handler.addFilter(_Bounded())
-    logging.handlers.QueueListener(lines, writer).start()
+    listener = logging.handlers.QueueListener(lines, writer)
+    listener.start()
+    atexit.register(listener.stop)
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -1,5 +1,6 @@
 """The application object of an instance on the platform."""
 
+import os
 import pathlib
 import random
 import secrets
@@ -45,6 +46,7 @@
 SAMPLE_THREADS = 256
 # Each open job has one call to the store under way.
 WRITE_THREADS = 16
+METRICS_VARIABLE = "HIBISCUSPIN_METRICS_PORT"
 METRICS_PORT = 9464
 # The balancer takes an instance out after two refusals, a second apart.
 UNREADY_S = 3.2
@@ -174,6 +176,7 @@
         unready_until = min(stop_by, self._clock.monotonic() + UNREADY_S)
         while self._clock.monotonic() < unready_until:
             time.sleep(STOP_POLL_S)
+        self._store_path.end_waits()
         self._supervisor.stop()
         self._jobs.stop()
         self._forwarder.stop()
@@ -205,7 +208,9 @@
             RELAY_METHOD: self._store_path.serve_relay,
         }
         tasks: list[Task] = [
-            self._server("peer", peer_app(handlers), boot.peer_address, 24),
+            self._server(
+                "peer", peer_app(handlers), boot.peer_address, PEER_THREADS
+            ),
             self._config_watcher,
             PrefixWatcher(
                 LIVE_PREFIX,
@@ -241,13 +246,15 @@
             self._server(
                 "metrics",
                 text_app(Metrics.CONTENT_TYPE, self._metrics.exposition),
-                Address(boot.peer_address.host, METRICS_PORT),
-                1,
+                Address(boot.peer_address.host, _metrics_port()),
+                READY_THREADS,
             ),
         ]
         if boot.ready_address is not None:
             app = ready_app(self.ready)
-            tasks.append(self._server("ready", app, boot.ready_address, 1))
+            tasks.append(
+                self._server("ready", app, boot.ready_address, READY_THREADS)
+            )
         if boot.caller_address is not None:
             tasks.append(
                 self._server(
@@ -285,3 +292,11 @@
         self._routes.take_versions(operators.decode_versions(values_by_key))
         if self._instances.term() is not None:
             self._retirement.answer(operators.retire_requests(values_by_key))
+
+
+def _metrics_port() -> int:
+    """Returns the port of the metrics, which a variable may change."""
+    text = os.environ.get(METRICS_VARIABLE, str(METRICS_PORT))
+    if not text.isdigit() or not 0 < int(text) < 65536:
+        raise SettingsError([f"{METRICS_VARIABLE}: expected a port: {text!r}"])
+    return int(text)
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -76,6 +76,7 @@
         self._targets_by_name: dict[str, Target] = {}
         self._missing_since_by_name: dict[str, float] = {}
         self.known = False
+        self.read_at = 0.0
 
     def replace(
         self, records: Iterable[TargetRecord], regained_at: float
@@ -91,6 +92,7 @@
         fresh = {record.name: record for record in records}
         with self._lock:
             self.known = True
+            self.read_at = now
             for name in list(self._targets_by_name):
                 if name in fresh or now < regained_at + RETURN_S:
                     continue
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -169,12 +169,28 @@
                     return self._give_up()
                 answer = self._await(step.until)
                 if answer is not None:
+                    self._log_answer(answer)
                     return answer
         finally:
             self._over.set()
             if waiting:
                 self._forwarder._count_waiting(service, -1)
 
+    def _log_answer(self, answer: PassedAnswer) -> None:
+        now = self._clock.monotonic()
+        _log.info(
+            "Call answered.",
+            extra={
+                "request_id": self._call.passed.request_id,
+                "route": self._call.route.name,
+                "service": self._call.service,
+                "targets": self._tried,
+                "status": answer.status,
+                "took_s": round(now - self._call.arrived_at, 4),
+                "list_age_s": round(now - self._targets.read_at, 2),
+            },
+        )
+
     def _next_step(self) -> attempts.Step:
         progress = attempts.Progress(
             self._repeatable,
@@ -315,7 +331,7 @@
             extra={
                 "request_id": call.passed.request_id,
                 "service": call.service,
-                "tried": self._tried,
+                "targets": self._tried,
                 "may_have_run": self._may_have_run,
                 "late": now >= self._deadline,
                 "reason": reason,
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -318,8 +318,9 @@
         try:
             self._peers.call(member.address, END_METHOD, call, PEER_TIMEOUT_S)
         except (PeerUnreachableError, HibiscusError):
-            self._head_by_id.pop(job, None)
             return False
+        finally:
+            self._head_by_id.pop(job, None)
         return True
 
     def _end_here(self, job: str, local: LocalJob | None) -> None:
--- a/hibiscuspin/tasks/store_path.py
+++ b/hibiscuspin/tasks/store_path.py
@@ -72,6 +72,10 @@
             for client in old:
                 client.drop()
 
+    def end_waits(self) -> None:
+        """Ends the calls that the store holds back; further ones fail."""
+        self._watch_client.abort()
+
     @property
     def direct(self) -> bool:
         """Whether the direct way is used."""
