Tell holders of one another's load, and let begun samples wait at engines

Cause: two steps of a trainer overlap at different instances, each of which filled all engines by its own counts; samples that left an engine then waited for a place behind new ones.

Change: holders of open jobs exchange their open requests by target five times a second, all others once; begun samples start first and may wait, as urgent, at an engine whose places are taken.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -203,3 +203,14 @@
       | 5      | 1   | 2       |
       | 0      | 5   | 4       |
       | 0      | 1   | 5       |
+
+  Scenario Outline: a begun sample may wait at an engine whose places are taken
+    Given targets "<targets>"
+    When a begun sample of 100 events is placed
+    Then the sample goes to "<chosen>"
+
+    Examples:
+      | targets                     | chosen |
+      | a:open_here=6 b:open_here=5 | b      |
+      | a:open_here=8               | a      |
+      | a:open_here=9               | none   |
--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -130,3 +130,9 @@
     Then all results of the job are listed with whole texts of version 1
     When the job is deleted
     Then the store holds nothing of the job
+
+  Scenario: holders know of one another's load
+    When a accepts a job of 2 groups of 4 samples with 300 events
+    And a and b tell each other their loads
+    Then b counts the 8 samples of a as open elsewhere
+    And that is forgotten after 1.0 s
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -446,3 +446,9 @@
 def check_urgency(context: Any, events: int, age: float, urgency: int) -> None:
     made = [samples.Made(n, "", 1) for n in range(events)]
     assert samples.urgency(made, age) == urgency
+
+
+@when("a begun sample of {events:d} events is placed")
+def place_begun(context: Any, events: int) -> None:
+    need = placement.SampleNeed(0, events, begun=True)
+    context.chosen = placement.place_sample(context.views, need, 1.0)
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.platform_fakes import MemoryFleet, contents
+from features.platform_fakes import SERVICE, MemoryFleet, contents
 from hibiscuspin.clock import monotonic
 from hibiscuspin.decisions import job_order
 from hibiscuspin.errors import HibiscusError
@@ -351,3 +351,27 @@
 def check_deleted(context: Any) -> None:
     rows = context.memory.store.scan("", 0.0).values
     assert not [row.key for row in rows if JOB in row.key]
+
+
+def open_elsewhere(context: Any) -> int:
+    views = context.memory.targets_by_name["b"].views(SERVICE)
+    return sum(view.open_elsewhere for view in views)
+
+
+@when("a and b tell each other their loads")
+def tell_loads(context: Any) -> None:
+    jobs = context.memory.jobs_by_name["b"]
+    targets = context.memory.targets_by_name["a"]
+    assert wait_until(lambda: sum(targets.open_by_name().values()) == 8, 2.0)
+    assert jobs.tell_load(context.memory.members["a"])
+
+
+@then("b counts the {count:d} samples of a as open elsewhere")
+def check_elsewhere(context: Any, count: int) -> None:
+    assert open_elsewhere(context) == count
+
+
+@then("that is forgotten after {seconds:g} s")
+def check_forgotten(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+    assert open_elsewhere(context) == 0
--- a/hibiscuspin/decisions/placement.py
+++ b/hibiscuspin/decisions/placement.py
@@ -19,6 +19,9 @@
 # Half of a sample's work at the pace of a target whose slots are all taken:
 # decoding slows by an eighth from one request to a full batch.
 FULL_PACE_FACTOR = 1.13
+# Urgent samples that may wait at a target; one in a dozen places is free
+# again within a tenth of a second.
+BEGUN_QUEUE = 3
 
 
 class TargetView(NamedTuple):
@@ -59,12 +62,15 @@
         oldest_version: The oldest weights that may make it.
         events: How many events are expected of it.
         home: The target that has its group's prompt, or an empty string.
+        begun: Whether it has events already; it is sent as urgent, and may
+            so wait at a target whose places are taken.
         avoid: Targets that it has just left.
     """
 
     oldest_version: int
     events: float
     home: str = ""
+    begun: bool = False
     avoid: Collection[str] = ()
 
 
@@ -96,10 +102,11 @@
     The time of reading a shared prompt is small against a sample's; a
     group's home therefore decides only between targets that are alike.
     """
+    least = 1 - BEGUN_QUEUE if need.begun else 1
     fit = [
         view
         for view in views
-        if view.free > 0
+        if view.free >= least
         and view.version >= need.oldest_version
         and view.rests_until <= now
     ]
@@ -111,8 +118,8 @@
 
 def _sample_key(
     view: TargetView, need: SampleNeed
-) -> tuple[float, bool, float, str]:
+) -> tuple[bool, float, bool, float, str]:
     fill = (view.slots - view.free) / max(1, view.slots)
     pace = view.event_s * (1 + (FULL_PACE_FACTOR - 1) * fill)
     finish_s = round(need.events * pace + view.link_s, 1)
-    return (finish_s, view.name != need.home, fill, view.name)
+    return (view.free <= 0, finish_s, view.name != need.home, fill, view.name)
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -29,6 +29,7 @@
 from hibiscuspin.tasks.job_recovery import JobRecovery
 from hibiscuspin.tasks.job_store import JobStore
 from hibiscuspin.tasks.jobs import Jobs
+from hibiscuspin.tasks.load_exchange import LoadExchange
 from hibiscuspin.tasks.local_job import JobTools
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
 from hibiscuspin.tasks.route_table import Routes
@@ -235,6 +236,7 @@
                 self._clock,
                 boot.keep_s,
             ),
+            LoadExchange(self._instances, self._jobs),
             WeightOrders(
                 self._instances,
                 self._targets,
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -1,7 +1,9 @@
 """Targets that were discovered, with what this instance knows of each."""
 
 import threading
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import ejection, ewma
@@ -17,6 +19,8 @@
 MOST_REST_S = 3.0
 # Entries of targets that live are back this long after the store's return.
 RETURN_S = 2.0
+# Holders of jobs tell their loads five times a second.
+LOAD_FRESH_S = 0.7
 DEFAULT_ANSWER_S = 0.05
 DEFAULT_EVENT_S = 0.05
 SAME_CENTRE_S = 0.0005
@@ -26,6 +30,13 @@
 _log = get_logger("targets")
 
 
+class _Load(NamedTuple):
+    """What another instance has open, and until when that is believed."""
+
+    open_by_name: dict[str, int]
+    fresh_until: float
+
+
 class Target:
     """One incarnation of a target.
 
@@ -74,7 +85,7 @@
         self._connect = connect
         self._lock = threading.Lock()
         self._targets_by_name: dict[str, Target] = {}
-        self._missing_since_by_name: dict[str, float] = {}
+        self._load_by_instance: dict[str, _Load] = {}
         self.known = False
         self.read_at = 0.0
 
@@ -157,6 +168,7 @@
         """Returns what decisions know of a service's targets."""
         now = self._clock.monotonic()
         targets = self.of_service(service)
+        elsewhere = self._open_elsewhere(now)
         event_s = self._typical(targets, "event", DEFAULT_EVENT_S, now)
         answer_s = self._typical(targets, "answer", DEFAULT_ANSWER_S, now)
         return [
@@ -164,6 +176,7 @@
                 name=target.name,
                 slots=target.record.slots,
                 open_here=target.open_calls,
+                open_elsewhere=elsewhere[target.name],
                 link_s=self._link_s(target.record.data_centre),
                 answer_s=ewma.estimate(target.answer, answer_s, now),
                 event_s=ewma.estimate(target.event, event_s, now),
@@ -189,6 +202,30 @@
             return SAME_REGION_S
         return OTHER_REGION_S
 
+    def open_by_name(self) -> dict[str, int]:
+        """Returns how many requests this instance has open on each target."""
+        with self._lock:
+            return {
+                name: target.open_calls
+                for name, target in self._targets_by_name.items()
+                if target.open_calls
+            }
+
+    def take_loads(self, instance: str, open_by_name: dict[str, int]) -> None:
+        """Takes how many requests another instance has open."""
+        now = self._clock.monotonic()
+        with self._lock:
+            self._load_by_instance[instance] = _Load(
+                open_by_name, now + LOAD_FRESH_S
+            )
+
+    def _open_elsewhere(self, now: float) -> Counter[str]:
+        total: Counter[str] = Counter()
+        for load in list(self._load_by_instance.values()):
+            if load.fresh_until > now:
+                total.update(load.open_by_name)
+        return total
+
     def begin(self, target: Target) -> None:
         """Counts a request that is sent to a target."""
         with self._lock:
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -39,6 +39,7 @@
 ITEM_METHOD = "jobs.item"
 RESULTS_METHOD = "jobs.results"
 CLEAR_METHOD = "targets.clear"
+LOAD_METHOD = "targets.load"
 RELEASE_METHOD = "targets.release"
 
 MAX_JOBS = 64
@@ -46,6 +47,7 @@
 # A run sees within a tenth of a second that it is to move.
 CLEAR_S = 0.25
 CLEAR_TIMEOUT_S = 0.5
+LOAD_TIMEOUT_S = 0.3
 # Trainers send a refused job once more; outages of the store last seconds.
 ACCEPT_TIMEOUT_S = 4.0
 ACCEPT_RETRY_S = 0.1
@@ -85,6 +87,11 @@
     hold_s: float
 
 
+class _LoadCall(NamedTuple):
+    instance: str
+    open_by_name: dict[str, int]
+
+
 class _ReleaseCall(NamedTuple):
     name: str
     model: str
@@ -128,6 +135,7 @@
             ITEM_METHOD: self._serve_item,
             RESULTS_METHOD: self._serve_results,
             CLEAR_METHOD: self._serve_clear,
+            LOAD_METHOD: self._serve_load,
             RELEASE_METHOD: self._serve_release,
         }
 
@@ -514,6 +522,37 @@
                 _log.info("Holder not told.", extra={"reason": str(error)})
         return replies
 
+    def holds_open(self) -> bool:
+        """Tells whether this instance has a job with samples to run."""
+        return any(not local.over for local in list(self._job_by_id.values()))
+
+    def tell_load(self, member: Member) -> bool:
+        """Tells another instance this one's load, and takes that one's.
+
+        Returns:
+            Whether the other instance holds an open job as well.
+        """
+        call = msgspec.msgpack.encode(self._load())
+        try:
+            body = self._peers.call(
+                member.address, LOAD_METHOD, call, LOAD_TIMEOUT_S
+            )
+        except (PeerUnreachableError, HibiscusError):
+            return False
+        load = msgspec.msgpack.decode(body, type=_LoadCall)
+        self._tools.targets.take_loads(load.instance, load.open_by_name)
+        return bool(load.open_by_name)
+
+    def _load(self) -> _LoadCall:
+        return _LoadCall(
+            self._instances.member.name, self._tools.targets.open_by_name()
+        )
+
+    def _serve_load(self, body: bytes) -> bytes:
+        load = msgspec.msgpack.decode(body, type=_LoadCall)
+        self._tools.targets.take_loads(load.instance, load.open_by_name)
+        return msgspec.msgpack.encode(self._load())
+
     def _serve_clear(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_ClearCall)
         now = self._clock.monotonic()
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -392,7 +392,9 @@
             for view in views
             if view.rests_until <= now
         )
-        return job_order.start_order(sizes, events_per_s, self._due_at - now)
+        begun = {sample.place for sample in waiting if sample.made}
+        order = job_order.start_order(sizes, events_per_s, self._due_at - now)
+        return sorted(order, key=lambda place: place not in begun)
 
     def _place(
         self,
@@ -405,6 +407,7 @@
             self.contents.oldest_version,
             self._left(sample),
             self._home_by_group.get(group, ""),
+            bool(sample.made),
             sample.avoid,
         )
         view = placement.place_sample(list(views_by_name.values()), need, now)
