Give a store that is slow for all more time, and leases two seconds

Direct calls ended at 0.8 s, those through others as well, eight leases of 1.5 s lapsed and the coordinator's duty moved with them.

Change: the time for a direct call doubles with each failure while no other instance reaches the store either, and follows the last answer's; leases of 2 s, renewed each 0.5 s.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -214,3 +214,18 @@
       | a:open_here=6 b:open_here=5 | b      |
       | a:open_here=8               | a      |
       | a:open_here=9               | none   |
+
+  Scenario Outline: a store that is slow for all is given more time
+    Given the direct way failed <failures> times, last at 9.0
+    And others reach the store meanwhile: <relayed>
+    And its last answer took <latency> s
+    Then a direct call may take <limit> s
+
+    Examples:
+      | failures | relayed | latency | limit |
+      | 0        | no      | 0.01    | 0.8   |
+      | 1        | no      | 0.01    | 1.6   |
+      | 1        | yes     | 0.01    | 0.8   |
+      | 4        | no      | 0.01    | 2.5   |
+      | 4        | yes     | 0.01    | 0.8   |
+      | 0        | no      | 0.6     | 1.5   |
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -452,3 +452,20 @@
 def place_begun(context: Any, events: int) -> None:
     need = placement.SampleNeed(0, events, begun=True)
     context.chosen = placement.place_sample(context.views, need, 1.0)
+
+
+@given("others reach the store meanwhile: {relayed}")
+def set_relayed(context: Any, relayed: str) -> None:
+    if YES_NO[relayed]:
+        context.path = store_paths.after_relayed(context.path)
+
+
+@given("its last answer took {latency:g} s")
+def set_latency(context: Any, latency: float) -> None:
+    context.path = context.path._replace(latency_s=latency)
+
+
+@then("a direct call may take {limit:g} s")
+def check_limit(context: Any, limit: float) -> None:
+    found = store_paths.direct_timeout_s(context.path)
+    assert abs(found - limit) < 1e-9, found
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -36,11 +36,11 @@
 _LAST_HOLDER_KEY = "hibiscuspin/last-coordinator"
 
 # A lost instance is noticed one lease after its last renewal.
-LEASE_TTL_S = 1.5
-RENEW_PERIOD_S = 0.45
+LEASE_TTL_S = 2.0
+RENEW_PERIOD_S = 0.5
 # The holder stops acting this long before the store may end its lease.
 SAFETY_MARGIN_S = 0.3
-CALL_TIMEOUT_S = 1.2
+CALL_TIMEOUT_S = 1.6
 # Each rank of candidates waits this much longer for a free duty.
 TURN_S = 0.3
 
--- a/hibiscuspin/tasks/store_path.py
+++ b/hibiscuspin/tasks/store_path.py
@@ -117,7 +117,7 @@
             StoreError: There was no answer, or the store turned it away.
         """
         now = self._clock.monotonic()
-        end = min(deadline, now + store_paths.DIRECT_TIMEOUT_S)
+        end = min(deadline, now + store_paths.direct_timeout_s(self._path))
         try:
             answer = self._client.request(
                 call.method, call.target, end, body=call.body or None
@@ -125,13 +125,13 @@
         except TargetError as error:
             if error.silent:
                 self._client.drop()
-            self._record(False, str(error))
+            self._record(False, now, str(error))
             applied = None if error.sent else False
             raise StoreError(str(error), applied) from error
         if answer.status in TURNED_AWAY:
-            self._record(False, f"status {answer.status}")
+            self._record(False, now, f"status {answer.status}")
             raise StoreError(f"store answered {answer.status}", False)
-        self._record(True, "")
+        self._record(True, now, "")
         if answer.status >= 500:
             raise StoreError(f"store answered {answer.status}", None)
         return StoreReply(answer.status, answer.body)
@@ -193,17 +193,21 @@
             unknown = error.kind is not ErrorKind.STORE_UNAVAILABLE
             applied = None if unknown else False
             raise StoreError(f"relay: {error}", applied) from error
+        with self._lock:
+            self._path = store_paths.after_relayed(self._path)
         return msgspec.msgpack.decode(body, type=StoreReply)
 
     def _check_direct(self) -> None:
         if self._path.failures:
             raise TargetError("the direct way fails", sent=True, silent=True)
 
-    def _record(self, ok: bool, reason: str) -> None:
+    def _record(self, ok: bool, started: float, reason: str) -> None:
         now = self._clock.monotonic()
         with self._lock:
             before = self._path.failures
-            self._path = store_paths.after_direct(self._path, ok, now)
+            self._path = store_paths.after_direct(
+                self._path, ok, now, now - started
+            )
         if ok and before:
             _log.info("Store regained.", extra={"failures": before})
         elif not ok and not before:
