Log each sample's end and each listing, and gather lines by id

Cause: a sample that went well left no line, so that its engine and versions could not be told afterwards, and lines on one id lay in several logs.

Change: one line for the end of each run and for each listing; the command 'hibiscuspin trace ID FILE...' puts all lines on an id in order.

--- /dev/null
+++ b/features/trace.feature
@@ -0,0 +1,16 @@
+Feature: All log lines on one id
+
+  Scenario: lines of several instances are put in order
+    Given log files of two instances
+    When an operator traces "r1"
+    Then lines "first second third" are shown in this order
+
+  Scenario: an id that is part of a list is found
+    Given log files of two instances
+    When an operator traces "t9"
+    Then lines "second" are shown in this order
+
+  Scenario: an id that only begins another is not found
+    Given log files of two instances
+    When an operator traces "r"
+    Then the trace fails and names "r"
--- a/hibiscuspin/commands/__init__.py
+++ b/hibiscuspin/commands/__init__.py
@@ -5,6 +5,7 @@
 from hibiscuspin.commands.outcome import CommandError, Outcome
 from hibiscuspin.commands.reports import report
 from hibiscuspin.commands.targets import drain, targets, undrain
+from hibiscuspin.commands.trace import trace
 
 __all__ = ["COMMANDS", "CommandError", "Outcome"]
 
@@ -18,4 +19,5 @@
     "explain": explain,
     "doctor": doctor,
     "report": report,
+    "trace": trace,
 }
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -305,18 +305,19 @@
         step = samples.after_run(end, sample.errors, self._route.max_attempts)
         if end is not End.WHOLE:
             sample.avoid = {run.target.name}
-            _log.info(
-                "Sample's run ended.",
-                extra={
-                    "job": self.contents.job,
-                    "request_id": sample.item.name,
-                    "target": run.target.name,
-                    "end": end.name,
-                    "events": len(sample.made),
-                    "next": step.name,
-                    "reason": run.detail,
-                },
-            )
+        _log.info(
+            "Sample's run ended.",
+            extra={
+                "job": self.contents.job,
+                "request_id": sample.item.name,
+                "target": run.target.name,
+                "end": end.name,
+                "events": len(sample.made),
+                "versions": samples.versions_of(sample.made),
+                "next": step.name,
+                "reason": run.detail,
+            },
+        )
         if step is Next.LIST:
             text = "\n".join(event.data for event in sample.made)
             versions = samples.versions_of(sample.made)
@@ -536,6 +537,15 @@
             with self._changed:
                 self._listed += chunk.results
                 self._changed.notify_all()
+            _log.info(
+                "Results listed.",
+                extra={
+                    "job": self.contents.job,
+                    "first": chunk.first,
+                    "results": len(chunk.results),
+                    "revision": stored.revision,
+                },
+            )
 
         self._submit(call, finish)
 
