Let one instance of a data centre read the list of targets for the others

Change: instances read in the order of their rank when the list grows old, and tell the others of their data centre; changes of live instances gather for 0.25 s; only the coordinator watches versions and machines to empty.

--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -11,6 +11,7 @@
     job_order,
     placement,
     queueing,
+    readers,
     recovery,
     routes,
     samples,
@@ -474,3 +475,31 @@
 @then("a sample hinted at {hint:g} events with {made:d} made has {left:g} left")
 def check_left(context: Any, hint: float, made: int, left: float) -> None:
     assert samples.events_left(hint, made) == left
+
+
+@given('instances "{names}" of one data centre that heard the list at {at:g}')
+def set_readers(context: Any, names: str, at: float) -> None:
+    context.readers, context.heard_at = names.split(), at
+
+
+def turns(context: Any) -> dict[str, float]:
+    return {
+        name: readers.read_at(name, "dc", context.readers, context.heard_at)
+        for name in context.readers
+    }
+
+
+@when("the first reader has gone")
+def lose_reader(context: Any) -> None:
+    found = turns(context)
+    context.readers.remove(min(found, key=lambda name: found[name]))
+
+
+@then(
+    "one of them reads at {first:g} and the others from {least:g} on, at "
+    "most at {most:g}"
+)
+def check_turns(context: Any, first: float, least: float, most: float) -> None:
+    times = sorted(turns(context).values())
+    assert abs(times[0] - first) < 1e-9, times
+    assert least <= times[1] and times[-1] <= most, times
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -21,7 +21,7 @@
 from hibiscuspin.platform.settings import Boot, read_boot
 from hibiscuspin.platform.store import KeyValueStore
 from hibiscuspin.settings import Address, SettingsError
-from hibiscuspin.tasks.directory import TargetDirectory
+from hibiscuspin.tasks.directory import LIST_METHOD, TargetDirectory
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.forwarding import Forwarder
 from hibiscuspin.tasks.http_server import HttpServer, ServerLimits
@@ -47,6 +47,8 @@
 SAMPLE_THREADS = 256
 # Each open job has one call to the store under way.
 WRITE_THREADS = 16
+# A fleet's instances register within a second of each other.
+LIVE_GAP_S = 0.25
 METRICS_VARIABLE = "HIBISCUSPIN_METRICS_PORT"
 METRICS_PORT = 9464
 # The balancer takes an instance out after two refusals, a second apart.
@@ -112,11 +114,30 @@
         self._forwarder = Forwarder(self._targets, self._clock)
         self._retirement = retirement.Retirement(self._store, self._clock)
         self._config_watcher = PrefixWatcher(
+            operators.CONFIG_PREFIX,
+            self._store,
+            self._clock,
+            draw,
+            self._on_config,
+        )
+        # Versions and machines to empty concern the coordinator alone.
+        self._duty_watcher = PrefixWatcher(
             operators.PREFIX,
             self._store,
             self._clock,
             draw,
-            self._on_operators,
+            self._on_duty,
+            active=lambda: self._instances.term() is not None,
+        )
+        self._directory = TargetDirectory(
+            engines.PREFIX,
+            engines.decode_record,
+            self._store,
+            self._targets,
+            self._clock,
+            draw,
+            self._instances,
+            self._peers,
         )
         self._servers: list[HttpServer] = []
         self._supervisor = Supervisor("instance", self._tasks(job_store, draw))
@@ -207,27 +228,23 @@
         handlers = {
             **self._jobs.handlers(),
             RELAY_METHOD: self._store_path.serve_relay,
+            LIST_METHOD: self._directory.serve_list,
         }
         tasks: list[Task] = [
             self._server(
                 "peer", peer_app(handlers), boot.peer_address, PEER_THREADS
             ),
             self._config_watcher,
+            self._duty_watcher,
             PrefixWatcher(
                 LIVE_PREFIX,
                 self._store,
                 self._clock,
                 draw,
                 self._instances.on_values,
+                gap_s=LIVE_GAP_S,
             ),
-            TargetDirectory(
-                engines.PREFIX,
-                engines.decode_record,
-                self._store,
-                self._targets,
-                self._clock,
-                draw,
-            ),
+            self._directory,
             self._instances,
             JobRecovery(
                 self._instances,
@@ -278,7 +295,7 @@
     def _connect(self, record: TargetRecord) -> engines.EngineCalls:
         return engines.EngineCalls(record, self._clock)
 
-    def _on_operators(self, values_by_key: Mapping[str, StoredValue]) -> None:
+    def _on_config(self, values_by_key: Mapping[str, StoredValue]) -> None:
         table = operators.decode_table(values_by_key)
         if table is not None and self._routes.take(table):
             limits = table.limits
@@ -291,9 +308,10 @@
             for server in self._servers:
                 if server.name == "caller":
                     server.limit(server_limits)
+
+    def _on_duty(self, values_by_key: Mapping[str, StoredValue]) -> None:
         self._routes.take_versions(operators.decode_versions(values_by_key))
-        if self._instances.term() is not None:
-            self._retirement.answer(operators.retire_requests(values_by_key))
+        self._retirement.answer(operators.retire_requests(values_by_key))
 
 
 def _metrics_port() -> int:
--- a/hibiscuspin/platform/operators.py
+++ b/hibiscuspin/platform/operators.py
@@ -15,10 +15,16 @@
 from hibiscuspin.logs import get_logger
 from hibiscuspin.platform import words
 
-__all__ = ["PREFIX", "decode_table", "decode_versions", "retire_requests"]
+__all__ = [
+    "CONFIG_PREFIX",
+    "PREFIX",
+    "decode_table",
+    "decode_versions",
+    "retire_requests",
+]
 
 PREFIX = "op/"
-_CONFIG_KEY = PREFIX + "config"
+CONFIG_PREFIX = PREFIX + "config"
 _VERSION_PREFIX = PREFIX + "version/"
 _RETIRE_PREFIX = PREFIX + "retire/"
 MS_PER_S = 1000.0
@@ -30,7 +36,7 @@
     values_by_key: Mapping[str, StoredValue],
 ) -> RouteTable | None:
     """Returns the operators' configuration, or None without a good one."""
-    value = values_by_key.get(_CONFIG_KEY)
+    value = values_by_key.get(CONFIG_PREFIX)
     if value is None:
         return None
     try:
--- a/hibiscuspin/tasks/directory.py
+++ b/hibiscuspin/tasks/directory.py
@@ -1,21 +1,32 @@
-"""Reads the list of targets from the store; a supervised task."""
+"""Keeps the list of targets, read here or by an instance nearby."""
 
 import random
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import readers
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.discovery import TargetRecord
-from hibiscuspin.edges.transactions import StoredValue, TransactionStore
+from hibiscuspin.edges.transactions import (
+    Scan,
+    StoredValue,
+    TransactionStore,
+)
+from hibiscuspin.errors import HibiscusError
 from hibiscuspin.logs import get_logger
+from hibiscuspin.peers.rpc import PeerCalls, PeerUnreachableError
 from hibiscuspin.tasks.discovered import DiscoveredTargets
+from hibiscuspin.tasks.instances import Instances
 
-__all__ = ["TargetDirectory"]
+__all__ = ["LIST_METHOD", "TargetDirectory"]
 
-# A target that drains must not get work 2.5 s later; targets write every
-# 1.2 s, so that a watch would return as often and cost more.
-PERIOD_S = 0.9
+LIST_METHOD = "targets.list"
+TICK_S = 0.05
+RETRY_S = 0.2
+TELL_TIMEOUT_S = 0.25
 CALL_TIMEOUT_S = 2.5
 # A gap of this length may have ended the entries of targets that live.
 LOST_AFTER_S = 2.0
@@ -36,6 +47,8 @@
         targets: DiscoveredTargets,
         clock: Clock,
         draw: random.Random,
+        instances: Instances,
+        peers: PeerCalls,
     ) -> None:
         self._prefix = prefix
         self._decode = decode
@@ -43,20 +56,40 @@
         self._targets = targets
         self._clock = clock
         self._draw = draw
+        self._instances = instances
+        self._peers = peers
+        self._lock = threading.Lock()
+        self._revision = 0
+        self._heard_at = 0.0
+        self._retry_at = 0.0
         self._read_at = clock.monotonic()
         self._regained_at = 0.0
         self._bad_revision_by_key: dict[str, int] = {}
 
     def run(self, stop: threading.Event) -> None:
-        """Reads once a period until `stop` is set."""
-        while not stop.is_set():
+        """Reads when it is this instance's turn until `stop` is set."""
+        while not stop.wait(TICK_S * self._draw.uniform(0.8, 1.2)):
+            now = self._clock.monotonic()
+            if now < max(self._turn(), self._retry_at):
+                continue
             try:
-                self.read()
+                scan = self.read()
             except StoreError as error:
+                self._retry_at = self._clock.monotonic() + RETRY_S
                 _log.debug("List not read.", extra={"reason": str(error)})
-            stop.wait(PERIOD_S * self._draw.uniform(0.9, 1.1))
+                continue
+            self._tell(scan)
+
+    def _turn(self) -> float:
+        own = self._instances.member
+        names = [
+            member.name
+            for member in self._instances.members().values()
+            if member.data_centre == own.data_centre
+        ]
+        return readers.read_at(own.name, own.data_centre, names, self._heard_at)
 
-    def read(self) -> None:
+    def read(self) -> Scan:
         """Reads the list once.
 
         Raises:
@@ -64,14 +97,43 @@
         """
         started = self._clock.monotonic()
         scan = self._store.scan(self._prefix, started + CALL_TIMEOUT_S)
-        if started - self._read_at > LOST_AFTER_S:
-            self._regained_at = started
-        self._read_at = started
-        records = [self._decoded(value) for value in scan.values]
-        self._targets.replace(
-            [record for record in records if record is not None],
-            self._regained_at,
-        )
+        self._take(scan, started)
+        return scan
+
+    def _take(self, scan: Scan, read_at: float) -> None:
+        """Takes a list unless a newer one is there."""
+        with self._lock:
+            if scan.revision < self._revision:
+                return
+            self._revision = scan.revision
+            if read_at - self._read_at > LOST_AFTER_S:
+                self._regained_at = read_at
+            self._read_at = self._heard_at = read_at
+            records = [self._decoded(value) for value in scan.values]
+            self._targets.replace(
+                [record for record in records if record is not None],
+                self._regained_at,
+            )
+
+    def _tell(self, scan: Scan) -> None:
+        """Tells the other instances of this data centre."""
+        own = self._instances.member
+        body = msgspec.msgpack.encode(scan)
+        for member in self._instances.others():
+            if member.data_centre != own.data_centre:
+                continue
+            try:
+                self._peers.call(
+                    member.address, LIST_METHOD, body, TELL_TIMEOUT_S
+                )
+            except (PeerUnreachableError, HibiscusError) as error:
+                _log.debug("List not told.", extra={"reason": str(error)})
+
+    def serve_list(self, body: bytes) -> bytes:
+        """Takes the list that another instance has read."""
+        scan = msgspec.msgpack.decode(body, type=Scan)
+        self._take(scan, self._clock.monotonic())
+        return b""
 
     def _decoded(self, value: StoredValue) -> TargetRecord | None:
         record = self._decode(value)
--- a/hibiscuspin/tasks/prefix_watcher.py
+++ b/hibiscuspin/tasks/prefix_watcher.py
@@ -23,6 +23,7 @@
 CALL_TIMEOUT_S = 3.0
 # While watches fail, the prefix is read once a second.
 RETRY_S = 0.9
+INACTIVE_POLL_S = 0.1
 
 Listener = Callable[[Mapping[str, StoredValue]], None]
 
@@ -39,13 +40,30 @@
         clock: Clock,
         draw: random.Random,
         listener: Listener,
+        *,
+        gap_s: float = 0.0,
+        active: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Creates the task.
+
+        Args:
+            prefix: The prefix.
+            store: The store.
+            clock: The time.
+            draw: Spreads the retries of a fleet.
+            listener: Called with all values after a change.
+            gap_s: How long changes gather before they are asked for, since
+                each answer of the store is a call.
+            active: Whether the prefix is watched at all.
+        """
         self.name = f"watch {prefix}"
         self._prefix = prefix
         self._store = store
         self._clock = clock
         self._draw = draw
         self._listener = listener
+        self._gap_s = gap_s
+        self._active = active
         self._values_by_key: dict[str, StoredValue] = {}
         self._current = threading.Event()
 
@@ -58,10 +76,15 @@
         """Watches until `stop` is set."""
         revision: int | None = None
         while not stop.is_set():
+            if not self._active():
+                revision = None
+                stop.wait(INACTIVE_POLL_S)
+                continue
             try:
                 if revision is None:
                     revision = self._scan()
                 revision = self._watch(revision)
+                stop.wait(self._gap_s)
             except HistoryLostError:
                 _log.info("History lost.", extra={"prefix": self._prefix})
                 revision = None
