Let calls wait for the first list of targets after a start

Change: until the list is known a call waits, within its deadline; it is read within a tenth of a second.

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -50,6 +50,11 @@
     Then the caller is refused with "no_target", which ran "no"
     And it was refused within 0.1 s and may come back after 0.2 to 3 s
 
+  Scenario: a call that comes before the list of targets is read waits for it
+    Given the list of targets is read after 0.3 s
+    When a repeatable call is forwarded
+    Then the caller gets the target's whole answer within 0.6 s
+
   Scenario: a call ends at its route's time
     Given all targets have the fault "silent"
     When a repeatable call is forwarded
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -1,5 +1,6 @@
 """Steps on forwarded calls and streams, in-process."""
 
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -76,6 +77,23 @@
     context.targets.replace([], LONG_AGO)
 
 
+@given("the list of targets is read after {seconds:g} s")
+def read_later(context: Any, seconds: float) -> None:
+    context.targets = DiscoveredTargets(
+        "dc",
+        {"dc": "r"},
+        SystemClock(),
+        lambda record: context.target_by_name[record.name],
+    )
+    context.forwarder = Forwarder(context.targets, SystemClock())
+    records = context.fleet_fakes.records()
+    timer = threading.Timer(
+        seconds, context.targets.replace, (records, LONG_AGO)
+    )
+    timer.start()
+    context.add_cleanup(timer.join)
+
+
 @given("target {name} is leaving")
 def drain(context: Any, name: str) -> None:
     records = [
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -19,7 +19,11 @@
 from hibiscuspin.edges.discovery import PassedAnswer, PassedCall
 from hibiscuspin.errors import ErrorKind, HibiscusError, Ran
 from hibiscuspin.logs import get_logger
-from hibiscuspin.tasks.discovered import DiscoveredTargets, Target
+from hibiscuspin.tasks.discovered import (
+    DEFAULT_ANSWER_S,
+    DiscoveredTargets,
+    Target,
+)
 
 __all__ = ["ForwardedCall", "Forwarder", "GivenUpError"]
 
@@ -98,6 +102,9 @@
         now = self._clock.monotonic()
         awake = [view for view in views if view.rests_until <= now]
         answers = sorted(view.answer_s for view in views)
+        if not self._targets.known:
+            # The list is read within a tenth of a second of the start.
+            return queueing.Load(0, 1, 0, DEFAULT_ANSWER_S)
         return queueing.Load(
             free=sum(max(0, view.free) for view in awake),
             slots=sum(view.slots for view in views),
