Show the platform's path in the demo

Cause: the demo ended before the platform.

Change: twenty calls and a job whose holder is killed, on the stand-ins.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -6,6 +6,7 @@
 
 import json
 import sys
+import tempfile
 import threading
 import time
 from collections import Counter
@@ -13,6 +14,7 @@
 from typing import NamedTuple
 
 from bench.fleet import Fleet, Instance, request
+from bench.platform_fleet import PlatformFleet
 from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from standins.tokens import expected_tokens
@@ -23,6 +25,10 @@
 MAX_TOKENS = 40
 LOAD_THREADS = 4
 LOAD_S = 2.0
+PLATFORM_CALLS = 20
+PLATFORM_EVENTS = 120
+KILL_AFTER_S = 1.0
+JOB_TIMEOUT_S = 15.0
 ROW = "{:<44} {:<6} {}"
 
 
@@ -174,6 +180,32 @@
 )
 
 
+def show_platform() -> list[Row]:
+    """Serves calls and a job on the platform's stand-ins, over a kill."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        PlatformFleet.running(folder) as fleet,
+    ):
+        answers = [
+            fleet.call("edge-0", "POST", "/calls/x", f"demo-{number}").status
+            for number in range(PLATFORM_CALLS)
+        ]
+        served = answers.count(200)
+        calls = Row(
+            "calls on the platform",
+            served == PLATFORM_CALLS,
+            f"{served} of {PLATFORM_CALLS} answered",
+        )
+        fleet.submit("edge-0", "demo-job", 3, 4, PLATFORM_EVENTS)
+        time.sleep(KILL_AFTER_S)
+        before = fleet.results("edge-1", "demo-job", 0, 0)["results"]
+        fleet.instance_by_name["edge-0"].process.kill()
+        rows = fleet.all_results("edge-1", "demo-job", JOB_TIMEOUT_S)
+        whole = len(rows) == 12 and rows[: len(before)] == before
+        seen = f"{len(rows)} of 12 results, {len(before)} before the kill"
+        return [calls, Row("a job whose holder is killed", whole, seen)]
+
+
 def main() -> int:
     """Runs all checks and prints the table."""
     with Fleet.running() as fleet:
@@ -185,6 +217,7 @@
         fleet.publish_instances()
         fleet.wait_configured(fleet.apply(config))
         rows = [show(fleet) for show in SHOWS]
+    rows += show_platform()
     print(ROW.format("check", "passed", "seen"))
     for row in rows:
         print(ROW.format(row.check, "yes" if row.passed else "NO", row.seen))
