--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON ?= python3
 RUN = PYTHONPATH=. $(VENV)/bin/python
 
-.PHONY: setup demo test check
+# Seeds that CI plays; those that ever failed join them.
+SEEDS ?= 6 12
+
+.PHONY: setup demo test check soak
 
 $(VENV)/.installed: pyproject.toml requirements.lock
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -17,7 +20,10 @@
 test: setup
 	$(RUN) -m features.run
 
+soak: setup
+	$(RUN) -m soak.run $(SEEDS)
+
 check: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/mypy hibiscuspin standins bench examples features
+	$(VENV)/bin/mypy hibiscuspin standins bench examples features soak
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -170,12 +170,18 @@
 
     def standin(self, module: str, name: str, *flags: str) -> Address:
         """Starts a stand-in and returns its address."""
-        address = self.addresses_by_name.get(name) or free_address()
+        address = self.address(name)
         argv = ["-m", f"standins.{module}", "--address", str(address), *flags]
         self.standins_by_name[name] = self.spawn(name, argv)
         self.addresses_by_name[name] = address
         return address
 
+    def address(self, name: str) -> Address:
+        """Returns a stand-in's address, which is reserved if it is new."""
+        if name not in self.addresses_by_name:
+            self.addresses_by_name[name] = free_address()
+        return self.addresses_by_name[name]
+
     def platform(self, lag_s: float = 0.5) -> None:
         """Starts the store and the instance list."""
         self.standin("store", "store")
--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -16,6 +16,7 @@
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpAnswer, HttpClient
 from hibiscuspin.settings import Address
+from soak.proxy import Proxy
 
 __all__ = ["HOST", "MODEL", "PlatformFleet", "PlatformInstance"]
 
@@ -42,23 +43,40 @@
 class PlatformFleet:
     """A store, targets and instances."""
 
-    def __init__(self, fleet: Fleet, folder: str) -> None:
+    def __init__(
+        self, fleet: Fleet, folder: str, proxied: bool = False
+    ) -> None:
         self._fleet = fleet
         self._folder = pathlib.Path(folder)
         self._config_version = 0
         self.instance_by_name: dict[str, PlatformInstance] = {}
         self._address_by_key: dict[str, Address] = {}
+        self._proxied = proxied
+        self._proxy_by_key: dict[str, Proxy] = {}
+        self._target_names: set[str] = set()
         self.store = self._fleet.standin("platform_store", "store")
         self._store_client = HttpClient(self.store)
 
     @classmethod
     @contextlib.contextmanager
     def running(
-        cls, folder: str, engines: int = 3, instances: int = 2
+        cls,
+        folder: str,
+        engines: int = 3,
+        instances: int = 2,
+        proxied: bool = False,
     ) -> Iterator["PlatformFleet"]:
-        """Yields a fleet that serves, and ends its processes afterwards."""
+        """Yields a fleet that serves, and ends its processes afterwards.
+
+        Args:
+            folder: Where settings files lie.
+            engines: How many model engines there are.
+            instances: How many instances there are.
+            proxied: Whether links to the store and to targets go through
+                proxies that can fail.
+        """
         with Fleet.running() as fleet:
-            platform = cls(fleet, folder)
+            platform = cls(fleet, folder, proxied)
             platform.wait_store()
             for number in range(engines):
                 platform.engine(f"e-{number}", "llm", MODEL)
@@ -101,12 +119,41 @@
             "PUT", "/faults", monotonic() + CALL_S, body=body
         )
 
-    def engine(self, name: str, service: str, model: str) -> None:
+    def engine(
+        self, name: str, service: str, model: str, version: int = 1
+    ) -> None:
         """Starts a target."""
+        self._target_names.add(name)
         flags = ["--name", name, "--service", service, "--zone", "cba-a"]
         flags += ["--store", str(self.store), "--model", model]
+        flags += ["--version", str(version)]
+        if self._proxied:
+            address = self._fleet.address(name)
+            proxy = self._proxy(f"{name} link", address)
+            flags += ["--advertised", str(proxy.address)]
         self._fleet.standin("platform_engine", name, *flags)
 
+    def _proxy(self, key: str, address: Address) -> Proxy:
+        if key not in self._proxy_by_key:
+            self._proxy_by_key[key] = Proxy(address)
+        return self._proxy_by_key[key]
+
+    def engine_proxy(self, name: str) -> Proxy:
+        """Returns the link of all instances to a target."""
+        return self._proxy(f"{name} link", self._fleet.address(name))
+
+    def store_proxy(self, name: str) -> Proxy:
+        """Returns the link of an instance to the store."""
+        return self._proxy(f"{name} store", self.store)
+
+    def target_names(self) -> list[str]:
+        """Returns the names of all targets."""
+        return sorted(self._target_names)
+
+    def compact(self) -> None:
+        """Has the store forget its history."""
+        self._store_client.request("POST", "/compact", monotonic() + CALL_S)
+
     def kill_engine(self, name: str) -> None:
         """Kills a target."""
         self._fleet.standins_by_name[name].kill()
@@ -192,6 +239,7 @@
     def _boot(self, name: str) -> dict[str, Any]:
         number = int(name.rpartition("-")[2])
         peer = self._address(name, "peer")
+        store = self.store_proxy(name).address if self._proxied else self.store
         return {
             "node_name": name,
             "ip": peer.host,
@@ -208,7 +256,7 @@
                 "status_s": 120,
                 "lease_ms": 1000,
             },
-            "platform": {"address": str(self.store)},
+            "platform": {"address": str(store)},
         }
 
     def wait_ready(self) -> None:
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,94 @@
+"""A TCP proxy on loopback that delays, resets, silences or cuts one way."""
+
+import contextlib
+import select
+import socket
+import struct
+import threading
+import time
+
+from bench.fleet import free_address
+from hibiscuspin.settings import Address
+
+__all__ = ["MODES", "Proxy"]
+
+MODES = ("pass", "delay", "reset", "silent", "cut_back")
+DELAY_S = 0.3
+POLL_S = 0.05
+READ_BYTES = 65536
+_RESET = struct.pack("ii", 1, 0)
+
+
+class Proxy:
+    """Passes connections on to one address; `mode` is what goes wrong.
+
+    Attributes:
+        address: Where it listens.
+        mode: One of `MODES`; `silent` passes nothing, `cut_back` nothing of
+            what the other end sends.
+    """
+
+    def __init__(self, target: Address) -> None:
+        self.address = free_address()
+        self.mode = "pass"
+        self._target = target
+        self._listener = socket.create_server(self.address, backlog=128)
+        self._open = True
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Takes no more connections."""
+        self._open = False
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while self._open:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(client,), daemon=True
+            ).start()
+
+    def _serve(self, client: socket.socket) -> None:
+        with client:
+            while self.mode == "silent" and self._open:
+                time.sleep(POLL_S)
+            if self.mode == "reset":
+                _reset(client)
+                return
+            try:
+                server = socket.create_connection(self._target, timeout=5.0)
+            except OSError:
+                _reset(client)
+                return
+            with server, contextlib.suppress(OSError):
+                self._pump(client, server)
+
+    def _pump(self, client: socket.socket, server: socket.socket) -> None:
+        # A connection that was silenced stays so, as one that a router lost.
+        lost = False
+        while self._open:
+            if self.mode == "reset":
+                _reset(client)
+                return
+            lost = lost or self.mode == "silent"
+            if lost:
+                time.sleep(POLL_S)
+                continue
+            ready, _, _ = select.select([client, server], [], [], POLL_S)
+            for source in ready:
+                data = source.recv(READ_BYTES)
+                if not data:
+                    return
+                if self.mode == "delay":
+                    time.sleep(DELAY_S)
+                if source is server and self.mode == "cut_back":
+                    lost = True
+                    continue
+                (server if source is client else client).sendall(data)
+
+
+def _reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -65,7 +65,7 @@
         state = "draining" if self._draining else "ready"
         entry: dict[str, Any] = {
             "service": args.service,
-            "address": str(args.address),
+            "address": str(args.advertised or args.address),
             "zone": args.zone,
             "version": "v1",
             "slots": args.slots,
@@ -223,6 +223,7 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--zone", required=True)
     parser.add_argument("--store", type=parse_address, required=True)
+    parser.add_argument("--advertised", type=parse_address)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--model", default="")
     parser.add_argument("--version", type=int, default=1)
