Split what instances tell of targets from jobs, and judge failures in one place

Change: tasks/target_exchange.py has the clearing of engines, their release and the exchange of loads; DiscoveredTargets.note takes a failed attempt.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -36,6 +36,7 @@
 from hibiscuspin.tasks.job_store import JobContents, JobItem, JobStore
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.local_job import JobTools
+from hibiscuspin.tasks.target_exchange import TargetExchange
 
 EVENT_S = 0.004
 SERVICE = "llm"
@@ -365,6 +366,7 @@
         }
         self.slots = slots
         self.jobs_by_name: dict[str, Jobs] = {}
+        self.exchange_by_name: dict[str, TargetExchange] = {}
         self.views: dict[str, StoreView] = {}
         self.targets_by_name: dict[str, DiscoveredTargets] = {}
         self.route: ForwardRoute | None = ROUTE
@@ -414,7 +416,14 @@
             self.clock,
         )
         jobs = Jobs(tools, instances, peers)
-        self.peers.handlers_by_address[member.address] = jobs.handlers()
+        exchange = TargetExchange(
+            targets, jobs.open_jobs, instances, peers, self.clock
+        )
+        self.exchange_by_name[name] = exchange
+        self.peers.handlers_by_address[member.address] = {
+            **jobs.handlers(),
+            **exchange.handlers(),
+        }
         self.views[name] = view
         self.targets_by_name[name] = targets
         self.jobs_by_name[name] = jobs
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -329,7 +329,7 @@
 def clear(context: Any, seconds: float) -> None:
     time.sleep(seconds)
     assert context.memory.target_by_name["t0"].running
-    context.memory.jobs_by_name["b"].clear(["t0"], 30.0)
+    context.memory.exchange_by_name["b"].clear(["t0"], 30.0)
 
 
 @then("{name} is not at work")
@@ -361,10 +361,10 @@
 
 @when("a and b tell each other their loads")
 def tell_loads(context: Any) -> None:
-    jobs = context.memory.jobs_by_name["b"]
+    exchange = context.memory.exchange_by_name["b"]
     targets = context.memory.targets_by_name["a"]
     assert wait_until(lambda: sum(targets.open_by_name().values()) == 8, 2.0)
-    assert jobs.tell_load(context.memory.members["a"])
+    assert exchange.tell_load(context.memory.members["a"])
 
 
 @then("b counts the {count:d} samples of a as open elsewhere")
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -29,13 +29,13 @@
 from hibiscuspin.tasks.job_recovery import JobRecovery
 from hibiscuspin.tasks.job_store import JobStore
 from hibiscuspin.tasks.jobs import Jobs
-from hibiscuspin.tasks.load_exchange import LoadExchange
 from hibiscuspin.tasks.local_job import JobTools
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.store_path import RELAY_METHOD, StorePath
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 from hibiscuspin.tasks.supervisor import Supervisor, Task
+from hibiscuspin.tasks.target_exchange import TargetExchange
 from hibiscuspin.tasks.weight_orders import WeightOrders
 
 __all__ = ["EdgeInstance"]
@@ -111,6 +111,13 @@
             self._instances,
             self._peers,
         )
+        self._exchange = TargetExchange(
+            self._targets,
+            self._jobs.open_jobs,
+            self._instances,
+            self._peers,
+            self._clock,
+        )
         self._forwarder = Forwarder(self._targets, self._clock)
         self._retirement = retirement.Retirement(self._store, self._clock)
         self._config_watcher = PrefixWatcher(
@@ -227,6 +234,7 @@
         )
         handlers = {
             **self._jobs.handlers(),
+            **self._exchange.handlers(),
             RELAY_METHOD: self._store_path.serve_relay,
             LIST_METHOD: self._directory.serve_list,
         }
@@ -253,11 +261,11 @@
                 self._clock,
                 boot.keep_s,
             ),
-            LoadExchange(self._instances, self._jobs),
+            self._exchange,
             WeightOrders(
                 self._instances,
                 self._targets,
-                self._jobs,
+                self._exchange,
                 self._routes.wanted_by_model,
                 self._routes.single_version,
                 self._clock,
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -8,6 +8,7 @@
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import ejection, ewma
 from hibiscuspin.decisions.placement import TargetView
+from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import TargetCalls, TargetRecord
 from hibiscuspin.logs import get_logger
 
@@ -253,6 +254,15 @@
             if event_s is not None:
                 target.event = ewma.add(target.event, event_s, now)
 
+    def note(self, target: Target, error: TargetError) -> None:
+        """Records what a failed attempt tells of its target."""
+        if error.draining:
+            self.misdirected(target)
+        elif error.refused:
+            self.refused(target)
+        else:
+            self.failed(target, error.silent, str(error))
+
     def refused(self, target: Target) -> None:
         """Records that a target had no place."""
         now = self._clock.monotonic()
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -301,15 +301,9 @@
 
     def _take_error(self, result: _Result, error: TargetError) -> None:
         self._last_error = error
-        target = result.target
         if error.refused or not error.sent:
             self._may_have_run -= 1
-        if error.draining:
-            self._targets.misdirected(target)
-        elif error.refused:
-            self._targets.refused(target)
-        else:
-            self._targets.failed(target, error.silent, str(error))
+        self._targets.note(result.target, error)
 
     def _rejection(self, step: attempts.Step) -> HibiscusError:
         call = self._call
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -38,16 +38,8 @@
 HOLDS_METHOD = "jobs.holds"
 ITEM_METHOD = "jobs.item"
 RESULTS_METHOD = "jobs.results"
-CLEAR_METHOD = "targets.clear"
-LOAD_METHOD = "targets.load"
-RELEASE_METHOD = "targets.release"
 
 MAX_JOBS = 64
-CALL_THREADS = 8
-# A run sees within a tenth of a second that it is to move.
-CLEAR_S = 0.25
-CLEAR_TIMEOUT_S = 0.5
-LOAD_TIMEOUT_S = 0.3
 # Trainers send a refused job once more; outages of the store last seconds.
 ACCEPT_TIMEOUT_S = 4.0
 ACCEPT_RETRY_S = 0.1
@@ -84,22 +76,6 @@
     wait_s: float
 
 
-class _ClearCall(NamedTuple):
-    names: list[str]
-    hold_s: float
-
-
-class _LoadCall(NamedTuple):
-    instance: str
-    open_by_name: dict[str, int]
-
-
-class _ReleaseCall(NamedTuple):
-    name: str
-    model: str
-    version: int
-
-
 class _ItemCall(NamedTuple):
     job: str
     item: str
@@ -123,9 +99,6 @@
         self._job_by_id: dict[str, LocalJob] = {}
         self._head_by_id: dict[str, tuple[StoredHead, float]] = {}
         self._controls = ThreadPoolExecutor(MAX_JOBS, thread_name_prefix="job")
-        self._calls = ThreadPoolExecutor(
-            CALL_THREADS, thread_name_prefix="tell"
-        )
         self._stopping = False
 
     def handlers(self) -> dict[str, Handler]:
@@ -136,9 +109,6 @@
             HOLDS_METHOD: self._serve_holds,
             ITEM_METHOD: self._serve_item,
             RESULTS_METHOD: self._serve_results,
-            CLEAR_METHOD: self._serve_clear,
-            LOAD_METHOD: self._serve_load,
-            RELEASE_METHOD: self._serve_release,
         }
 
     def submit(
@@ -486,90 +456,11 @@
             return False
         return msgspec.msgpack.decode(body, type=bool)
 
-    def clear(self, names: list[str], hold_s: float) -> int:
-        """Has all holders of jobs move their samples off some targets.
-
-        Args:
-            names: The targets, which are about to load weights.
-            hold_s: How long they get no new samples unless released.
-
-        Returns:
-            How many samples run or wait to run, as far as holders answered.
-        """
-        call = msgspec.msgpack.encode(_ClearCall(names, hold_s))
-        replies = self._tell_holders(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
-        replies.append(self._serve_clear(call))
-        return sum(msgspec.msgpack.decode(body, type=int) for body in replies)
-
-    def release(self, name: str, model: str, version: int) -> None:
-        """Tells all holders of jobs that a target has loaded weights."""
-        call = msgspec.msgpack.encode(_ReleaseCall(name, model, version))
-        self._tell_holders(RELEASE_METHOD, call, PEER_TIMEOUT_S)
-        self._serve_release(call)
-
-    def _tell_holders(
-        self, method: str, call: bytes, timeout_s: float
-    ) -> list[bytes]:
-        futures = [
-            self._calls.submit(
-                self._peers.call, member.address, method, call, timeout_s
-            )
-            for member in self._instances.others()
+    def open_jobs(self) -> list[LocalJob]:
+        """Returns the jobs here with samples to run."""
+        return [
+            local for local in list(self._job_by_id.values()) if not local.over
         ]
-        replies = []
-        for future in futures:
-            try:
-                replies.append(future.result())
-            except (PeerUnreachableError, HibiscusError) as error:
-                _log.info("Holder not told.", extra={"reason": str(error)})
-        return replies
-
-    def holds_open(self) -> bool:
-        """Tells whether this instance has a job with samples to run."""
-        return any(not local.over for local in list(self._job_by_id.values()))
-
-    def tell_load(self, member: Member) -> bool:
-        """Tells another instance this one's load, and takes that one's.
-
-        Returns:
-            Whether the other instance holds an open job as well.
-        """
-        call = msgspec.msgpack.encode(self._load())
-        try:
-            body = self._peers.call(
-                member.address, LOAD_METHOD, call, LOAD_TIMEOUT_S
-            )
-        except (PeerUnreachableError, HibiscusError):
-            return False
-        load = msgspec.msgpack.decode(body, type=_LoadCall)
-        self._tools.targets.take_loads(load.instance, load.open_by_name)
-        return bool(load.open_by_name)
-
-    def _load(self) -> _LoadCall:
-        return _LoadCall(
-            self._instances.member.name, self._tools.targets.open_by_name()
-        )
-
-    def _serve_load(self, body: bytes) -> bytes:
-        load = msgspec.msgpack.decode(body, type=_LoadCall)
-        self._tools.targets.take_loads(load.instance, load.open_by_name)
-        return msgspec.msgpack.encode(self._load())
-
-    def _serve_clear(self, body: bytes) -> bytes:
-        call = msgspec.msgpack.decode(body, type=_ClearCall)
-        now = self._clock.monotonic()
-        self._tools.targets.hold(call.names, now + call.hold_s)
-        count = 0
-        for local in list(self._job_by_id.values()):
-            if not local.over:
-                local.leave_targets(call.names, now + CLEAR_S)
-                count += local.open_samples()
-        return msgspec.msgpack.encode(count)
-
-    def _serve_release(self, body: bytes) -> bytes:
-        call = msgspec.msgpack.decode(body, type=_ReleaseCall)
-        self._tools.targets.release(call.name, call.model, call.version)
-        return b""
 
     def forget_older(self, submitted_before: float) -> None:
         """Drops jobs that nobody may ask for any more."""
@@ -583,7 +474,6 @@
         for local in list(self._job_by_id.values()):
             local.finish()
         self._controls.shutdown()
-        self._calls.shutdown()
 
     def _head(self, job: str) -> StoredHead:
         """Returns a job's head, which may be a second old."""
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -29,6 +29,9 @@
 EVENTS_FOR_PACE = 5
 PACE_PERIOD_S = 0.5
 
+# The engine's own answers to a sample that it ran, or never can.
+END_BY_STATUS = {422: End.IMPOSSIBLE, 500: End.ERROR}
+
 _log = get_logger("rollouts")
 
 
@@ -188,15 +191,8 @@
 
     def _after_error(self, error: TargetError) -> End:
         self.detail = str(error)
-        if error.draining:
-            self._targets.misdirected(self.target)
-            return End.REFUSED
-        if error.refused:
-            self._targets.refused(self.target)
-            return End.REFUSED
-        if error.status == 422:
-            return End.IMPOSSIBLE
-        if error.status == 500:
-            return End.ERROR
-        self._targets.failed(self.target, error.silent, str(error))
-        return End.BROKEN
+        end = END_BY_STATUS.get(error.status)
+        if end is not None and not error.refused:
+            return end
+        self._targets.note(self.target, error)
+        return End.REFUSED if error.refused else End.BROKEN
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -110,12 +110,7 @@
     def _fail(self, target: Target, error: TargetError) -> None:
         if error.refused or not error.sent:
             self._ran -= 1
-        if error.draining:
-            self._targets.misdirected(target)
-        elif error.refused:
-            self._targets.refused(target)
-        else:
-            self._targets.failed(target, error.silent, str(error))
+        self._targets.note(target, error)
 
     def _refusal(self, error: TargetError | None) -> HibiscusError:
         if self._ran:
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -17,7 +17,7 @@
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.discovered import DiscoveredTargets, Target
 from hibiscuspin.tasks.instances import Instances, Term
-from hibiscuspin.tasks.jobs import Jobs
+from hibiscuspin.tasks.target_exchange import TargetExchange
 
 __all__ = ["WeightOrders"]
 
@@ -44,7 +44,7 @@
         self,
         instances: Instances,
         targets: DiscoveredTargets,
-        jobs: Jobs,
+        exchange: TargetExchange,
         wanted_by_model: Callable[[], Mapping[str, int]],
         finish_first: Callable[[str], bool],
         clock: Clock,
@@ -54,7 +54,7 @@
         Args:
             instances: Tells whether this instance has the duty.
             targets: The engines.
-            jobs: Clears engines of samples.
+            exchange: Clears engines of samples.
             wanted_by_model: Returns the newest versions that were named.
             finish_first: Returns whether open generations of a service must
                 end under the weights that they began with.
@@ -62,7 +62,7 @@
         """
         self._instances = instances
         self._targets = targets
-        self._jobs = jobs
+        self._exchange = exchange
         self._wanted_by_model = wanted_by_model
         self._finish_first = finish_first
         self._clock = clock
@@ -121,7 +121,7 @@
         stop: threading.Event,
     ) -> None:
         try:
-            samples = self._jobs.clear(names, HOLD_S)
+            samples = self._exchange.clear(names, HOLD_S)
             until = self._clock.monotonic() + weight_orders.CATCH_UP_S
             pressed = weight_orders.is_pressed(samples, places)
             self._pressed_until_by_model[model] = (
@@ -150,7 +150,7 @@
         except Exception:
             _log.exception("Load failed.")
         finally:
-            self._jobs.release(name, model, version)
+            self._exchange.release(name, model, version)
             self._loading.discard(name)
 
     def _order(
