Wait for registered targets and a first call in the platform's fleet

Probably the call came before the plain targets had registered; a play beside fourteen busy processes did not show it, as the start itself then timed out.

Change: the fleet waits until the store lists all targets and each instance has answered a call.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -86,6 +86,7 @@
             for number in range(instances):
                 platform.start(f"edge-{number}")
             platform.wait_ready()
+            platform.wait_registered()
             yield platform
 
     def wait_store(self) -> None:
@@ -268,6 +269,32 @@
                 f"{instance.name} being ready",
             )
 
+    def wait_registered(self) -> None:
+        """Waits until the store lists all targets, and instances know them."""
+        wait_for(
+            lambda: self._registered() >= len(self._target_names),
+            START_S,
+            "the targets' registration",
+        )
+        for name in self.instance_by_name:
+            wait_for(
+                lambda name=name: self._serves(name),  # type: ignore[misc]
+                START_S,
+                f"the first call at {name}",
+            )
+
+    def _serves(self, name: str) -> bool:
+        try:
+            answer = self.call(name, "POST", f"{CALLS}x", "start")
+        except TargetError:
+            return False
+        return answer.status == 200
+
+    def _registered(self) -> int:
+        path = "/hibiscuspin/kv-range?prefix=servers/"
+        answer = self._store_client.request("GET", path, monotonic() + CALL_S)
+        return len(msgspec.json.decode(answer.body)["items"])
+
     def is_ready(self, instance: PlatformInstance) -> bool:
         """Asks an instance whether it is ready."""
         try:
