Give each model homes, and clear engines of the model that they load alone

Cause: with four trainers on one pool each version of each model was loaded by all engines, and a load cleared its engine of all samples.

Change: a model's versions are loaded by its homes, 1.5 times its share of the engines; models load in turn, the one that lags most first; an engine that loads keeps the samples of other models. Placement needs nothing new: it goes by the weights that an engine serves. With one trainer all engines are homes, as before.

Loads at once follow the stated 9 of 23 now.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -154,7 +154,7 @@
       | 1       | 2     |
       | 5       | 2     |
       | 6       | 2     |
-      | 23      | 8     |
+      | 23      | 9     |
 
   Scenario: jobs of lost and restarted instances are orphans
     Given members "a/1 b/2"
--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -111,10 +111,17 @@
 
   Scenario: samples leave an engine that is to load weights
     When a accepts a job of 2 groups of 4 samples with 200 events
-    And b clears engine t0 for its load after 0.2 s
+    And b clears engine t0 for a load of m after 0.2 s
     Then t0 is not at work
     And all results of the job are listed with whole texts of version 1
 
+  Scenario: samples of other models stay where a model is loaded
+    When a accepts a job of 2 groups of 4 samples with 100 events
+    And b clears engine t0 for a load of another after 0.2 s
+    Then t0 is still at work
+    And all results of the job are listed with whole texts of version 1
+    And each sample ran 1 times
+
   Scenario: samples leave an engine that turns slow
     Given engine t0 makes events 40 times slower
     When a accepts a job of 2 groups of 4 samples with 100 events
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -345,11 +345,22 @@
         context.engines.append(engine)
 
 
+def next_loads(
+    engines: list[weight_orders.EngineView],
+    wanted: int,
+    loading: str,
+    pressed: bool,
+) -> list[str]:
+    need = weight_orders.ModelNeed("m", wanted, pressed)
+    names = {engine.name for engine in engines} & set(loading.split())
+    model_by_loading = dict.fromkeys(names, "m")
+    room = weight_orders.loads_at_once(len(engines)) - len(names)
+    return weight_orders.next_engines(need, engines, model_by_loading, room)
+
+
 @when('version {wanted:d} is wanted and "{loading}" loads')
 def choose_engines(context: Any, wanted: int, loading: str) -> None:
-    context.loads = weight_orders.next_engines(
-        wanted, context.engines, loading.split()
-    )
+    context.loads = next_loads(context.engines, wanted, loading, False)
 
 
 @then('the engines "{names}" load next')
@@ -424,9 +435,7 @@
 
 @when('version {wanted:d} is wanted under pressure and "{loading}" loads')
 def choose_pressed(context: Any, wanted: int, loading: str) -> None:
-    context.loads = weight_orders.next_engines(
-        wanted, context.engines, loading.split(), pressed=True
-    )
+    context.loads = next_loads(context.engines, wanted, loading, True)
 
 
 @then('the engines "" load next')
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -325,11 +325,11 @@
     assert not context.memory.target_by_name[name].runs
 
 
-@when("b clears engine t0 for its load after {seconds:g} s")
-def clear(context: Any, seconds: float) -> None:
+@when("b clears engine t0 for a load of {model} after {seconds:g} s")
+def clear(context: Any, model: str, seconds: float) -> None:
     time.sleep(seconds)
     assert context.memory.target_by_name["t0"].running
-    context.memory.exchange_by_name["b"].clear(["t0"], 30.0)
+    context.memory.exchange_by_name["b"].clear(["t0"], model, 30.0)
 
 
 @then("{name} is not at work")
@@ -337,6 +337,11 @@
     assert not context.memory.target_by_name[name].running
 
 
+@then("{name} is still at work")
+def check_stays(context: Any, name: str) -> None:
+    assert context.memory.target_by_name[name].running
+
+
 @when("its route is removed")
 def remove_route(context: Any) -> None:
     context.memory.route = None
--- a/hibiscuspin/decisions/weight_orders.py
+++ b/hibiscuspin/decisions/weight_orders.py
@@ -5,24 +5,46 @@
 at a time while the others go on with all samples. Where the work would fill
 the others, half of the engines load for each version: a step allows the
 version before, so that each engine is then left out of every other one.
+
+Load pattern: several trainers share the engines. If each engine loaded each
+version of each model, loads would take longer than the steps between them.
+Each model therefore has homes, a part of the engines, which load its
+versions; the parts overlap, so that a burst of one model finds the places of
+others.
 """
 
-from collections.abc import Collection, Sequence
+import math
+from collections import Counter
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-__all__ = ["EngineView", "is_pressed", "loads_at_once", "next_engines"]
+from hibiscuspin import rendezvous
+
+__all__ = [
+    "EngineView",
+    "ModelNeed",
+    "home_count",
+    "homes",
+    "is_pressed",
+    "loads_at_once",
+    "next_engines",
+    "turns",
+]
 
 # The sites load 2 of 5, 2 of 6 and 9 of 23 engines at full speed.
-LOADING_SHARE = 0.39
+LOADING_SHARE = 0.4
 LEAST_AT_ONCE = 2
 # Above this share of the places, samples wait while engines load.
 PRESSED_SHARE = 0.6
 # Without a newer version for this long, the rest of the engines follow.
 CATCH_UP_S = 6.0
+# How many models an engine is a home of, on average, where several share
+# the engines.
+HOME_OVERLAP = 1.5
 
 
 class EngineView(NamedTuple):
-    """An engine that serves a model.
+    """An engine as one model sees it.
 
     Attributes:
         name: Its name.
@@ -35,6 +57,21 @@
     busy: int
 
 
+class ModelNeed(NamedTuple):
+    """What a model's homes are to load.
+
+    Attributes:
+        model: The model.
+        wanted: The version that they are to serve.
+        pressed: Whether to load no more than must: those that are two
+            versions behind, and half in all.
+    """
+
+    model: str
+    wanted: int
+    pressed: bool = False
+
+
 def loads_at_once(engines: int) -> int:
     """Returns how many engines load at once without slowing each other."""
     return max(LEAST_AT_ONCE, int(engines * LOADING_SHARE))
@@ -45,29 +82,105 @@
     return samples > PRESSED_SHARE * places
 
 
+def home_count(engines: int, models: int) -> int:
+    """Returns how many engines are homes of each of some models."""
+    if models <= 1:
+        return engines
+    return min(engines, math.ceil(engines * HOME_OVERLAP / models))
+
+
+def homes(
+    wanted_by_model: Mapping[str, int],
+    versions_by_engine: Mapping[str, Mapping[str, int]],
+) -> dict[str, list[str]]:
+    """Returns the homes of each model.
+
+    Models choose in turn. An engine that has followed a model is chosen
+    before others, so that homes change only when engines come and go; among
+    equals, one that few models have chosen.
+
+    Args:
+        wanted_by_model: The version that each model's homes are to serve.
+        versions_by_engine: The version of each model that an engine serves.
+    """
+    chosen: dict[str, list[str]] = {model: [] for model in wanted_by_model}
+    taken: Counter[str] = Counter()
+    # `min` keeps to the order of `rank` between equals.
+    left_by_model = {
+        model: rendezvous.rank(
+            model,
+            [name for name, row in versions_by_engine.items() if model in row],
+        )
+        for model in sorted(wanted_by_model)
+    }
+    count_by_model = {
+        model: home_count(
+            len(names),
+            len(
+                {other for name in names for other in versions_by_engine[name]}
+            ),
+        )
+        for model, names in left_by_model.items()
+    }
+    for turn in range(max(count_by_model.values(), default=0)):
+        for model, left in left_by_model.items():
+            if turn >= count_by_model[model]:
+                continue
+            oldest = wanted_by_model[model] - 1
+            costs = [
+                (versions_by_engine[name][model] < oldest, taken[name])
+                for name in left
+            ]
+            name = left.pop(costs.index(min(costs)))
+            taken[name] += 1
+            chosen[model].append(name)
+    return chosen
+
+
+def turns(
+    wanted_by_model: Mapping[str, int],
+    engines_by_model: Mapping[str, Sequence[EngineView]],
+) -> list[str]:
+    """Returns the models in the order in which they may load.
+
+    The one with the smallest share of homes that serve its version goes
+    first, so that no model waits until another has moved as a whole.
+    """
+
+    def share(model: str) -> float:
+        engines = engines_by_model[model]
+        wanted = wanted_by_model[model]
+        fresh = sum(engine.version >= wanted for engine in engines)
+        return fresh / max(1, len(engines))
+
+    return sorted(wanted_by_model, key=lambda model: (share(model), model))
+
+
 def next_engines(
-    wanted: int,
+    need: ModelNeed,
     engines: Sequence[EngineView],
-    loading: Collection[str],
-    pressed: bool = False,
+    model_by_loading: Mapping[str, str],
+    room: int,
 ) -> list[str]:
-    """Returns the engines that load now, the oldest weights first.
+    """Returns the engines that load a model now, the oldest weights first.
 
     Args:
-        wanted: The version that all are to serve.
-        engines: The engines of the model.
-        loading: Those that load already.
-        pressed: Whether to load no more than must: those that are two
-            versions behind, and half in all.
+        need: What the model needs.
+        engines: Its homes.
+        model_by_loading: The engines that load already, and what.
+        room: How many more may load at once, whichever model.
     """
-    count = sum(engine.name in loading for engine in engines)
-    room = loads_at_once(len(engines)) - count
+    wanted = need.wanted
+    count = sum(
+        model_by_loading.get(engine.name) == need.model for engine in engines
+    )
+    room = min(room, loads_at_once(len(engines)) - count)
     lagging = [
         engine
         for engine in engines
-        if engine.version < wanted and engine.name not in loading
+        if engine.version < wanted and engine.name not in model_by_loading
     ]
-    if pressed:
+    if need.pressed:
         fresh = sum(engine.version >= wanted for engine in engines) + count
         old = sum(engine.version < wanted - 1 for engine in lagging)
         room = min(room, max(old, (len(engines) + 1) // 2 - fresh))
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -54,7 +54,7 @@
         self.open_calls = 0
         self.health = ejection.Health()
         self.rests_until = 0.0
-        self.held_until = 0.0
+        self.held_until_by_model: dict[str, float] = {}
         self.answer: ewma.Mean | None = None
         self.event: ewma.Mean | None = None
         self.least_version_by_model: dict[str, int] = {}
@@ -182,7 +182,10 @@
                 answer_s=ewma.estimate(target.answer, answer_s, now),
                 event_s=ewma.estimate(target.event, event_s, now),
                 version=target.version(model) if model else 0,
-                rests_until=max(target.rests_until, target.held_until),
+                rests_until=max(
+                    target.rests_until,
+                    target.held_until_by_model.get(model, 0.0),
+                ),
             )
             for target in targets
         ]
@@ -287,18 +290,18 @@
             },
         )
 
-    def hold(self, names: Iterable[str], until: float) -> None:
-        """Keeps new work from targets that are about to load weights."""
+    def hold(self, names: Iterable[str], model: str, until: float) -> None:
+        """Keeps a model's new work from targets that are about to load it."""
         for name in names:
             target = self._targets_by_name.get(name)
             if target is not None:
-                target.held_until = until
+                target.held_until_by_model[model] = until
 
     def release(self, name: str, model: str, version: int) -> None:
         """Takes a target that has loaded weights into use again."""
         target = self._targets_by_name.get(name)
         if target is not None:
-            target.held_until = 0.0
+            target.held_until_by_model.pop(model, None)
             known = target.least_version_by_model.get(model, 0)
             target.least_version_by_model[model] = max(known, version)
 
--- a/hibiscuspin/tasks/target_exchange.py
+++ b/hibiscuspin/tasks/target_exchange.py
@@ -42,9 +42,10 @@
 
 
 class _Clear(NamedTuple):
-    """Targets that are about to load, and how long they get no samples."""
+    """Targets about to load a model, and how long they get none of its work."""
 
     names: list[str]
+    model: str
     hold_s: float
 
 
@@ -121,17 +122,19 @@
                     self._busy.discard(member.name)
         self._calls.shutdown()
 
-    def clear(self, names: list[str], hold_s: float) -> int:
-        """Has all holders of jobs move their samples off some targets.
+    def clear(self, names: list[str], model: str, hold_s: float) -> int:
+        """Has all holders of jobs move a model's samples off some targets.
 
         Args:
             names: The targets, which are about to load weights.
+            model: Whose weights; samples of other models run on.
             hold_s: How long they get no new samples unless released.
 
         Returns:
-            How many samples run or wait to run, as far as holders answered.
+            How many samples of all models run or wait to run, as far as
+            holders answered.
         """
-        call = msgspec.msgpack.encode(_Clear(names, hold_s))
+        call = msgspec.msgpack.encode(_Clear(names, model, hold_s))
         replies = self._tell(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
         replies.append(self._serve_clear(call))
         return sum(msgspec.msgpack.decode(body, type=int) for body in replies)
@@ -188,10 +191,11 @@
     def _serve_clear(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_Clear)
         now = self._clock.monotonic()
-        self._targets.hold(call.names, now + call.hold_s)
+        self._targets.hold(call.names, call.model, now + call.hold_s)
         count = 0
         for job in self._open_jobs():
-            job.leave_targets(call.names, now + CLEAR_S)
+            if job.contents.model == call.model:
+                job.leave_targets(call.names, now + CLEAR_S)
             count += job.open_samples()
         return msgspec.msgpack.encode(count)
 
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -8,10 +8,11 @@
 import threading
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import weight_orders
-from hibiscuspin.decisions.weight_orders import EngineView
+from hibiscuspin.decisions.weight_orders import EngineView, ModelNeed
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import TargetState, WeightOrder
 from hibiscuspin.logs import get_logger
@@ -35,6 +36,13 @@
 _log = get_logger("weights")
 
 
+class _HomeInputs(NamedTuple):
+    """What homes are chosen by."""
+
+    wanted_by_model: dict[str, int]
+    versions_by_engine: dict[str, dict[str, int]]
+
+
 class WeightOrders:
     """Orders engines while this instance has the duty."""
 
@@ -66,7 +74,9 @@
         self._wanted_by_model = wanted_by_model
         self._finish_first = finish_first
         self._clock = clock
-        self._loading: set[str] = set()
+        self._model_by_loading: dict[str, str] = {}
+        self._home_inputs: _HomeInputs | None = None
+        self._homes_by_model: dict[str, list[str]] = {}
         self._pressed_until_by_model: dict[str, tuple[int, float]] = {}
         self._loads = ThreadPoolExecutor(
             LOAD_THREADS, thread_name_prefix="load"
@@ -78,50 +88,83 @@
             term = self._instances.term()
             if term is None or self._clock.monotonic() < term.orders_from:
                 continue
-            for model, wanted in self._wanted_by_model().items():
-                self._move(model, wanted, term, stop)
+            self._move(term, stop)
         self._loads.shutdown()
 
-    def _move(
-        self, model: str, wanted: int, term: Term, stop: threading.Event
-    ) -> None:
-        by_name = {
+    def _move(self, term: Term, stop: threading.Event) -> None:
+        """Starts the loads that are due."""
+        wanted_by_model = self._wanted_by_model()
+        engines = {
             target.name: target
             for target in self._targets.all()
-            if model in target.record.version_by_model
+            if target.record.version_by_model
             and not target.gone
             and not target.record.draining
         }
-        views = [
-            EngineView(name, target.version(model), target.open_calls)
-            for name, target in by_name.items()
-        ]
-        names = weight_orders.next_engines(
-            wanted, views, self._loading, self._is_pressed(model, wanted)
-        )
-        if not names:
-            return
-        self._loading.update(names)
-        places = sum(target.record.slots for target in by_name.values())
-        self._loads.submit(
-            self._clear_and_load, names, places, model, wanted, term, stop
+        views_by_model = {
+            model: [
+                EngineView(
+                    name, engines[name].version(model), engines[name].open_calls
+                )
+                for name in names
+            ]
+            for model, names in self._homes(wanted_by_model, engines).items()
+        }
+        places = sum(target.record.slots for target in engines.values())
+        at_once = weight_orders.loads_at_once(len(engines))
+        for model in weight_orders.turns(wanted_by_model, views_by_model):
+            need = self._need(model, wanted_by_model[model])
+            names = weight_orders.next_engines(
+                need,
+                views_by_model[model],
+                dict(self._model_by_loading),
+                at_once - len(self._model_by_loading),
+            )
+            if names:
+                self._model_by_loading.update(dict.fromkeys(names, model))
+                self._loads.submit(
+                    self._clear_and_load, names, places, need, term, stop
+                )
+
+    def _homes(
+        self, wanted_by_model: Mapping[str, int], engines: Mapping[str, Target]
+    ) -> dict[str, list[str]]:
+        """Returns each model's homes; chosen again only after a change."""
+        inputs = _HomeInputs(
+            dict(wanted_by_model),
+            {
+                name: {model: target.version(model) for model in models}
+                for name, target in engines.items()
+                if (
+                    models := wanted_by_model.keys()
+                    & target.record.version_by_model.keys()
+                )
+            },
         )
+        if inputs != self._home_inputs:
+            homes = weight_orders.homes(*inputs)
+            if homes != self._homes_by_model:
+                _log.info("Homes chosen.", extra={"homes_by_model": homes})
+            self._home_inputs = inputs
+            self._homes_by_model = homes
+        return self._homes_by_model
 
-    def _is_pressed(self, model: str, wanted: int) -> bool:
+    def _need(self, model: str, wanted: int) -> ModelNeed:
         version, until = self._pressed_until_by_model.get(model, (0, 0.0))
-        return self._clock.monotonic() < until and version >= wanted - 1
+        pressed = self._clock.monotonic() < until and version >= wanted - 1
+        return ModelNeed(model, wanted, pressed)
 
     def _clear_and_load(
         self,
         names: list[str],
         places: int,
-        model: str,
-        wanted: int,
+        need: ModelNeed,
         term: Term,
         stop: threading.Event,
     ) -> None:
+        model, wanted = need.model, need.wanted
         try:
-            samples = self._exchange.clear(names, HOLD_S)
+            samples = self._exchange.clear(names, model, HOLD_S)
             until = self._clock.monotonic() + weight_orders.CATCH_UP_S
             pressed = weight_orders.is_pressed(samples, places)
             self._pressed_until_by_model[model] = (
@@ -151,7 +194,7 @@
             _log.exception("Load failed.")
         finally:
             self._exchange.release(name, model, version)
-            self._loading.discard(name)
+            self._model_by_loading.pop(name, None)
 
     def _order(
         self, target: Target, model: str, wanted: int, term: Term
