Start a server's threads as requests need them

Change: a dispatcher for waitress that starts a thread for a request that finds none idle, up to the same limits as before.

--- a/hibiscuspin/tasks/http_server.py
+++ b/hibiscuspin/tasks/http_server.py
@@ -20,6 +20,7 @@
 
 from hibiscuspin.clock import monotonic
 from hibiscuspin.edges.channel import Channel
+from hibiscuspin.edges.dispatcher import GrowingDispatcher
 from hibiscuspin.logs import get_logger
 from hibiscuspin.settings import Address
 
@@ -87,6 +88,11 @@
         self._limits: ServerLimits | None = None
         self._server: Any = None
 
+    @property
+    def busy_threads(self) -> int:
+        """How many threads serve a request."""
+        return self._server.task_dispatcher.active_count if self._server else 0
+
     def limit(self, limits: ServerLimits) -> None:
         """Puts other limits in force, for open connections too."""
         self._limits = limits
@@ -133,7 +139,7 @@
             map=sockets,
             host=self._address.host,
             port=self._address.port,
-            threads=self._threads,
+            _dispatcher=GrowingDispatcher(self._threads),
             channel_timeout=CHANNEL_TIMEOUT_S,
             cleanup_interval=CLEANUP_PERIOD_S,
             channel_request_lookahead=1,
