Load weights when a step's samples have room, and start long samples first

A step must not take more than 7.5 s, and one sample in thirty takes 7 s.

Change: engines with the version before load a second after a newer one was named, when others have places for what runs there; engines two versions behind load at once, as they are of no use. This takes the place of the rule that half of the engines load under pressure; its tests are replaced by tests of the new rule. Groups go one after the other only where the work would not fit into all of the time. Holders tell the coordinator their loads.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -178,22 +178,22 @@
       | 1        | 8.0    | 3      | direct 0 1 |
       | 1        | 9.0    | 0      | direct    |
 
-  Scenario Outline: under pressure only half of the engines load for a version
+  Scenario Outline: an engine with the version before loads when others have room
     Given engines "<engines>"
-    When version 3 is wanted under pressure and "<loading>" loads
+    When version 3 was named <ago> s ago and "<loading>" loads
     Then the engines "<names>" load next
 
     Examples:
-      | engines                     | loading | names |
-      | a:2,0 b:2,0 c:2,0 d:2,0     | none    | a b   |
-      | a:3,0 b:2,0 c:2,0 d:2,0     | none    | b     |
-      | a:3,0 b:3,0 c:2,0 d:2,0     | none    |       |
-      | a:3,0 b:1,0 c:1,0 d:2,0     | none    | b c   |
-      | a:3,0 b:3,0 c:1,0 d:1,0     | c       | d     |
-      | a:3,0 b:3,0 c:3,0 d:1,0     | none    | d     |
-
-  Scenario: open samples press where they need most of the places
-    Then 43 samples before 72 places don't press and 44 do
+      | engines                 | ago | loading | names |
+      | a:2,8 b:2,8 c:2,8 d:2,8 | 2.0 | none    |       |
+      | a:2,2 b:2,1 c:2,3 d:2,8 | 0.5 | none    |       |
+      | a:2,2 b:2,1 c:2,3 d:2,8 | 1.5 | none    | b a   |
+      | a:2,2 b:2,1 c:2,3 d:2,8 | 1.5 | b       | a     |
+      | a:2,7 b:2,8 c:2,8 d:2,8 | 1.5 | none    |       |
+      | a:3,8 b:2,8 c:2,0 d:2,8 | 1.5 | none    | c     |
+      | a:3,0 b:1,8 c:1,8 d:2,8 | 0.5 | none    | b c   |
+      | a:3,0 b:3,0 c:1,8 d:1,8 | 0.5 | c       | d     |
+      | a:1,0 b:1,0 c:2,8 d:2,8 | 1.5 | a       | b     |
 
   Scenario Outline: what was begun goes before what was not
     Then a sample with <events> events of a step <age> s old has urgency <urgency>
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -320,6 +320,10 @@
         """Returns the live instances."""
         return dict(self._members)
 
+    def coordinator(self) -> str:
+        """Returns the name of the coordinator; there is none."""
+        return ""
+
     def others(self) -> list[Member]:
         """Returns the live instances but this."""
         return [m for m in self._members.values() if m != self.member]
--- a/features/steps/platform_weights_steps.py
+++ b/features/steps/platform_weights_steps.py
@@ -14,6 +14,7 @@
 LOAD_S = 0.9
 PLAYED_S = 60.0
 MODELS = 4
+SLOTS = 8
 
 
 @given("{engines:d} engines that serve {models:d} models at version 1")
@@ -92,7 +93,7 @@
     for text in texts.split():
         name, _, fields = text.partition(":")
         version, busy = map(int, fields.split(","))
-        rows.append(EngineView(name, version, busy))
+        rows.append(EngineView(name, version, busy, SLOTS))
     return rows
 
 
@@ -118,10 +119,11 @@
     context: Any, name: str, other: str, wanted: int, model: str, room: int
 ) -> None:
     context.loads = weight_orders.next_engines(
-        ModelNeed(model, wanted),
+        ModelNeed(model, wanted, 0.0),
         context.views_by_model[model],
         {name: other},
         room,
+        10.0,
     )
 
 
@@ -147,13 +149,15 @@
         self.versions = versions
         self.shared = shared
         self.wanted: dict[str, int] = {}
+        self.named_at: dict[str, float] = {}
         self.loads: dict[str, _Load] = {}
         self.named = 0
         self.loaded = 0
         self.most = 0
         self.fewest = len(versions)
 
-    def name(self, model: str) -> None:
+    def name(self, model: str, now: float) -> None:
+        self.named_at[model] = now
         self.wanted[model] = self.wanted.get(model, 1) + 1
         self.named += 1
 
@@ -166,15 +170,17 @@
         if self.shared:
             homes = weight_orders.homes(self.wanted, self.versions)
         by_model = {
-            model: [EngineView(n, self.versions[n][model], 0) for n in names]
+            model: [
+                EngineView(n, self.versions[n][model], 0, SLOTS) for n in names
+            ]
             for model, names in homes.items()
         }
         at_once = weight_orders.loads_at_once(len(self.versions))
         for model in weight_orders.turns(self.wanted, by_model):
-            need = ModelNeed(model, self.wanted[model])
+            need = ModelNeed(model, self.wanted[model], self.named_at[model])
             loading = {name: load.model for name, load in self.loads.items()}
             for name in weight_orders.next_engines(
-                need, by_model[model], loading, at_once - len(loading)
+                need, by_model[model], loading, at_once - len(loading), now
             ):
                 self.loads[name] = _Load(model, need.wanted, now + LOAD_S)
                 self.loaded += 1
@@ -196,7 +202,7 @@
         now = tick * TICK_S
         for model, at in name_at.items():
             if now >= at:
-                played.name(model)
+                played.name(model, now)
                 name_at[model] = at + NAME_PERIOD_S
         played.step(now)
     return played
--- a/hibiscuspin/decisions/job_order.py
+++ b/hibiscuspin/decisions/job_order.py
@@ -12,8 +12,8 @@
 __all__ = ["SampleSize", "Waiting", "commit_due", "save_due", "start_order"]
 
 # Share of the time to the due moment that work may fill before groups are
-# taken one by one; the rest is for late starts and slow targets.
-SPARE_SHARE = 0.6
+# taken one by one. While some targets load, the others alone are counted.
+SPARE_SHARE = 1.0
 
 # A trainer that has read something pauses for half a second, so that a
 # listing just before the one that completes its step delays it.
--- a/hibiscuspin/decisions/weight_orders.py
+++ b/hibiscuspin/decisions/weight_orders.py
@@ -1,10 +1,11 @@
 """Which engines load which weights next.
 
 Load pattern: a trainer names a version and asks for its next step at the
-same moment, so that engines have work whenever they are to load. A few load
-at a time while the others go on with all samples. Where the work would fill
-the others, half of the engines load for each version: a step allows the
-version before, so that each engine is then left out of every other one.
+same moment, so that engines have most work just when they are to load. A
+step allows the version before: engines that have it stay in use, and load
+when the step's many short samples are done and others have places for what
+runs there. Engines that are two versions behind are of no use to the step
+and load at once.
 
 Load pattern: several trainers share the engines. If each engine loaded each
 version of each model, loads would take longer than the steps between them.
@@ -25,7 +26,6 @@
     "ModelNeed",
     "home_count",
     "homes",
-    "is_pressed",
     "loads_at_once",
     "next_engines",
     "turns",
@@ -34,10 +34,8 @@
 # The sites load 2 of 5, 2 of 6 and 9 of 23 engines at full speed.
 LOADING_SHARE = 0.4
 LEAST_AT_ONCE = 2
-# Above this share of the places, samples wait while engines load.
-PRESSED_SHARE = 0.6
-# Without a newer version for this long, the rest of the engines follow.
-CATCH_UP_S = 6.0
+# The samples of a step run a second after its version was named.
+SETTLE_S = 1.0
 # How many models an engine is a home of, on average, where several share
 # the engines.
 HOME_OVERLAP = 1.5
@@ -50,11 +48,13 @@
         name: Its name.
         version: The weights that it serves, as last heard.
         busy: Requests that run or wait there, as far as they are known.
+        slots: How many requests it runs at once.
     """
 
     name: str
     version: int
     busy: int
+    slots: int
 
 
 class ModelNeed(NamedTuple):
@@ -63,13 +63,12 @@
     Attributes:
         model: The model.
         wanted: The version that they are to serve.
-        pressed: Whether to load no more than must: those that are two
-            versions behind, and half in all.
+        named_at: When this version was heard of.
     """
 
     model: str
     wanted: int
-    pressed: bool = False
+    named_at: float
 
 
 def loads_at_once(engines: int) -> int:
@@ -77,11 +76,6 @@
     return max(LEAST_AT_ONCE, int(engines * LOADING_SHARE))
 
 
-def is_pressed(samples: int, places: int) -> bool:
-    """Tells whether so many open samples need most of the places."""
-    return samples > PRESSED_SHARE * places
-
-
 def home_count(engines: int, models: int) -> int:
     """Returns how many engines are homes of each of some models."""
     if models <= 1:
@@ -161,6 +155,7 @@
     engines: Sequence[EngineView],
     model_by_loading: Mapping[str, str],
     room: int,
+    now: float,
 ) -> list[str]:
     """Returns the engines that load a model now, the oldest weights first.
 
@@ -169,20 +164,32 @@
         engines: Its homes.
         model_by_loading: The engines that load already, and what.
         room: How many more may load at once, whichever model.
+        now: The monotonic time.
     """
     wanted = need.wanted
     count = sum(
         model_by_loading.get(engine.name) == need.model for engine in engines
     )
     room = min(room, loads_at_once(len(engines)) - count)
+    free = sum(
+        max(0, engine.slots - engine.busy)
+        for engine in engines
+        if engine.version >= wanted - 1 and engine.name not in model_by_loading
+    )
     lagging = [
         engine
         for engine in engines
         if engine.version < wanted and engine.name not in model_by_loading
     ]
-    if need.pressed:
-        fresh = sum(engine.version >= wanted for engine in engines) + count
-        old = sum(engine.version < wanted - 1 for engine in lagging)
-        room = min(room, max(old, (len(engines) + 1) // 2 - fresh))
     lagging.sort(key=lambda engine: (engine.version, engine.busy, engine.name))
-    return [engine.name for engine in lagging[: max(0, room)]]
+    chosen: list[str] = []
+    for engine in lagging:
+        if len(chosen) >= room:
+            break
+        if engine.version >= wanted - 1:
+            others = free - max(0, engine.slots - engine.busy)
+            if now < need.named_at + SETTLE_S or others < engine.busy:
+                continue
+            free = others - engine.busy
+        chosen.append(engine.name)
+    return chosen
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -215,6 +215,12 @@
                 if target.open_calls
             }
 
+    def open_everywhere(self) -> dict[str, int]:
+        """Returns the requests of all instances, as far as they are known."""
+        total = self._open_elsewhere(self._clock.monotonic())
+        total.update(self.open_by_name())
+        return dict(total)
+
     def take_loads(self, instance: str, open_by_name: dict[str, int]) -> None:
         """Takes how many requests another instance has open."""
         now = self._clock.monotonic()
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -100,6 +100,11 @@
         self._term: Term | None = None
         self._leaving = threading.Event()
 
+    def coordinator(self) -> str:
+        """Returns the name of the coordinator, as last heard."""
+        duty = self._duty
+        return duty.value.decode() if duty is not None else ""
+
     def members(self) -> dict[str, Member]:
         """Returns the live instances by name, as last heard."""
         return dict(self._members_by_name)
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -236,10 +236,6 @@
         runs = [sample.run for sample in self._samples]
         return [run for run in runs if run and run.target.name in names]
 
-    def open_samples(self) -> int:
-        """Returns how many samples run or wait to run."""
-        return sum(not sample.finished for sample in self._samples)
-
     def pause(self) -> dict[str, list[samples.Made]]:
         """Stops all work for a handover.
 
--- a/hibiscuspin/tasks/target_exchange.py
+++ b/hibiscuspin/tasks/target_exchange.py
@@ -113,8 +113,10 @@
                 continue
             everyone = period % SEARCH_PERIODS == 0
             period += 1
+            coordinator = self._instances.coordinator()
             for member in self._instances.others():
-                if not everyone and member.name not in self._busy:
+                wanted = member.name in self._busy or member.name == coordinator
+                if not everyone and not wanted:
                     continue
                 if self.tell_load(member):
                     self._busy.add(member.name)
@@ -122,22 +124,17 @@
                     self._busy.discard(member.name)
         self._calls.shutdown()
 
-    def clear(self, names: list[str], model: str, hold_s: float) -> int:
+    def clear(self, names: list[str], model: str, hold_s: float) -> None:
         """Has all holders of jobs move a model's samples off some targets.
 
         Args:
             names: The targets, which are about to load weights.
             model: Whose weights; samples of other models run on.
             hold_s: How long they get no new samples unless released.
-
-        Returns:
-            How many samples of all models run or wait to run, as far as
-            holders answered.
         """
         call = msgspec.msgpack.encode(_Clear(names, model, hold_s))
-        replies = self._tell(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
-        replies.append(self._serve_clear(call))
-        return sum(msgspec.msgpack.decode(body, type=int) for body in replies)
+        self._tell(CLEAR_METHOD, call, CLEAR_TIMEOUT_S)
+        self._serve_clear(call)
 
     def release(self, name: str, model: str, version: int) -> None:
         """Tells all holders of jobs that a target has loaded weights."""
@@ -145,20 +142,18 @@
         self._tell(RELEASE_METHOD, call, RELEASE_TIMEOUT_S)
         self._serve_release(call)
 
-    def _tell(self, method: str, call: bytes, timeout_s: float) -> list[bytes]:
+    def _tell(self, method: str, call: bytes, timeout_s: float) -> None:
         futures = [
             self._calls.submit(
                 self._peers.call, member.address, method, call, timeout_s
             )
             for member in self._instances.others()
         ]
-        replies = []
         for future in futures:
             try:
-                replies.append(future.result())
+                future.result()
             except (PeerUnreachableError, HibiscusError) as error:
                 _log.info("Holder not told.", extra={"reason": str(error)})
-        return replies
 
     def tell_load(self, member: Member) -> bool:
         """Tells another instance this one's load, and takes that one's.
@@ -192,12 +187,10 @@
         call = msgspec.msgpack.decode(body, type=_Clear)
         now = self._clock.monotonic()
         self._targets.hold(call.names, call.model, now + call.hold_s)
-        count = 0
         for job in self._open_jobs():
             if job.contents.model == call.model:
                 job.leave_targets(call.names, now + CLEAR_S)
-            count += job.open_samples()
-        return msgspec.msgpack.encode(count)
+        return b""
 
     def _serve_release(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_Release)
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -77,7 +77,8 @@
         self._model_by_loading: dict[str, str] = {}
         self._home_inputs: _HomeInputs | None = None
         self._homes_by_model: dict[str, list[str]] = {}
-        self._pressed_until_by_model: dict[str, tuple[int, float]] = {}
+        # The newest version of each model, and when it was heard of.
+        self._named_by_model: dict[str, tuple[int, float]] = {}
         self._loads = ThreadPoolExecutor(
             LOAD_THREADS, thread_name_prefix="load"
         )
@@ -94,6 +95,7 @@
     def _move(self, term: Term, stop: threading.Event) -> None:
         """Starts the loads that are due."""
         wanted_by_model = self._wanted_by_model()
+        self._note_names(wanted_by_model)
         engines = {
             target.name: target
             for target in self._targets.all()
@@ -101,29 +103,33 @@
             and not target.gone
             and not target.record.draining
         }
+        open_by_name = self._targets.open_everywhere()
         views_by_model = {
             model: [
                 EngineView(
-                    name, engines[name].version(model), engines[name].open_calls
+                    name,
+                    engines[name].version(model),
+                    open_by_name.get(name, 0),
+                    engines[name].record.slots,
                 )
                 for name in names
             ]
             for model, names in self._homes(wanted_by_model, engines).items()
         }
-        places = sum(target.record.slots for target in engines.values())
         at_once = weight_orders.loads_at_once(len(engines))
         for model in weight_orders.turns(wanted_by_model, views_by_model):
-            need = self._need(model, wanted_by_model[model])
+            wanted, named_at = self._named_by_model[model]
             names = weight_orders.next_engines(
-                need,
+                ModelNeed(model, wanted, named_at),
                 views_by_model[model],
                 dict(self._model_by_loading),
                 at_once - len(self._model_by_loading),
+                self._clock.monotonic(),
             )
             if names:
                 self._model_by_loading.update(dict.fromkeys(names, model))
                 self._loads.submit(
-                    self._clear_and_load, names, places, need, term, stop
+                    self._clear_and_load, names, model, wanted, term, stop
                 )
 
     def _homes(
@@ -149,28 +155,23 @@
             self._homes_by_model = homes
         return self._homes_by_model
 
-    def _need(self, model: str, wanted: int) -> ModelNeed:
-        version, until = self._pressed_until_by_model.get(model, (0, 0.0))
-        pressed = self._clock.monotonic() < until and version >= wanted - 1
-        return ModelNeed(model, wanted, pressed)
+    def _note_names(self, wanted_by_model: Mapping[str, int]) -> None:
+        """Keeps when each version was heard of first."""
+        now = self._clock.monotonic()
+        for model, wanted in wanted_by_model.items():
+            if self._named_by_model.get(model, (0, 0.0))[0] != wanted:
+                self._named_by_model[model] = (wanted, now)
 
     def _clear_and_load(
         self,
         names: list[str],
-        places: int,
-        need: ModelNeed,
+        model: str,
+        wanted: int,
         term: Term,
         stop: threading.Event,
     ) -> None:
-        model, wanted = need.model, need.wanted
         try:
-            samples = self._exchange.clear(names, model, HOLD_S)
-            until = self._clock.monotonic() + weight_orders.CATCH_UP_S
-            pressed = weight_orders.is_pressed(samples, places)
-            self._pressed_until_by_model[model] = (
-                wanted,
-                until if pressed else 0.0,
-            )
+            self._exchange.clear(names, model, HOLD_S)
         except Exception:
             _log.exception("Engines not cleared.")
         for name in names:
