--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -174,30 +174,3 @@
     And b reads results and bodies of the job 2 times
     And c ends the job
     Then b finds no body of the job
-
-  Scenario: a job that comes in elsewhere is held by the holder of its model
-    When b accepts a job of 2 groups of 4 samples with 5 events
-    Then only a holds the job
-    And all results of the job are listed with whole texts of version 1
-
-  Scenario: a job is held where it came in if its holder does not answer
-    Given a does not answer other instances
-    When b accepts a job of 2 groups of 4 samples with 5 events
-    Then only b holds the job
-    And all results of the job are listed with whole texts of version 1
-
-  Scenario: a job whose holder's answer was lost is accepted once
-    Given the answers of a to other instances are lost
-    When b accepts a job of 2 groups of 4 samples with 30 events
-    Then only a holds the job
-
-  Scenario Outline: a job that a holder may have accepted is not refused as not run
-    Given the store is down
-    And a <fault>
-    When b is sent a job with 0.6 s to live
-    Then it is refused with "<kind>"
-
-    Examples:
-      | fault                               | kind              |
-      | answers                             | store_unavailable |
-      | does not answer other instances     | outcome_unknown   |
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import holders, recovery
+from hibiscuspin.decisions import recovery
 from hibiscuspin.decisions.recovery import Member
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import Made
@@ -38,24 +38,11 @@
 HOLDS_METHOD = "jobs.holds"
 ITEM_METHOD = "jobs.item"
 RESULTS_METHOD = "jobs.results"
-SUBMIT_METHOD = "jobs.submit"
-
-# A holder that answers so has not accepted a job, and never will.
-NOT_ACCEPTED = frozenset(
-    {
-        ErrorKind.NOT_CONFIGURED,
-        ErrorKind.STOPPING,
-        ErrorKind.STORE_UNAVAILABLE,
-    }
-)
+
 MAX_JOBS = 64
 # Trainers send a refused job once more; outages of the store last seconds.
 ACCEPT_TIMEOUT_S = 4.0
 ACCEPT_RETRY_S = 0.1
-# A holder answers within 30 ms; the trainer's objective is half a second.
-PASS_TIMEOUT_S = 0.3
-# Larger jobs cost more to pass on than their holder saves.
-MOST_PASSED_BYTES = 4_000_000
 # Readers wait 1.5 s longer than they allow; the store is asked in that time.
 PEER_SLACK_S = 0.4
 PEER_TIMEOUT_S = 0.8
@@ -93,11 +80,6 @@
     item: str
 
 
-class _SubmitCall(NamedTuple):
-    contents: JobContents
-    left_s: float
-
-
 class Jobs:
     """The jobs of this instance, and the way to those of others."""
 
@@ -126,7 +108,6 @@
             HOLDS_METHOD: self._serve_holds,
             ITEM_METHOD: self._serve_item,
             RESULTS_METHOD: self._serve_results,
-            SUBMIT_METHOD: self._serve_submit,
         }
 
     def submit(
@@ -140,72 +121,8 @@
         """
         if contents.job in self._job_by_id:
             return
-        passed = self._pass_on(contents, deadline)
-        if not passed:
-            self._accept(contents, route, deadline, passed)
-
-    def _pass_on(self, contents: JobContents, deadline: float) -> bool | None:
-        """Has the holder of the model's jobs accept a job.
-
-        Returns:
-            Whether it was accepted; None if it may be, now or later.
-        """
-        own = self._instances.member
-        members = {**self._instances.members(), own.name: own}
-        member = holders.holder(contents.model, members, own.data_centre)
-        if member is None or member.name == own.name:
-            return False
-        left_s = deadline - self._clock.monotonic()
-        body = msgspec.msgpack.encode(_SubmitCall(contents, left_s))
-        if len(body) > MOST_PASSED_BYTES:
-            return False
-        try:
-            self._peers.call(
-                member.address, SUBMIT_METHOD, body, min(left_s, PASS_TIMEOUT_S)
-            )
-        except (PeerUnreachableError, HibiscusError) as error:
-            refused = (
-                isinstance(error, HibiscusError) and error.kind in NOT_ACCEPTED
-            )
-            _log.info(
-                "Job not passed on.",
-                extra={
-                    "job": contents.job,
-                    "to": member.name,
-                    "refused": refused,
-                    "reason": str(error),
-                },
-            )
-            return False if refused else None
-        return True
-
-    def _serve_submit(self, body: bytes) -> bytes:
-        call = msgspec.msgpack.decode(body, type=_SubmitCall)
-        found = self._tools.route_of(call.contents)
-        if found is None:
-            raise HibiscusError(
-                ErrorKind.NOT_CONFIGURED, "The job's route is not known here."
-            )
-        if call.contents.job not in self._job_by_id:
-            deadline = self._clock.monotonic() + call.left_s
-            self._accept(call.contents, found[0], deadline, False)
-        return b""
-
-    def _accept(
-        self,
-        contents: JobContents,
-        route: ForwardRoute,
-        deadline: float,
-        passed: bool | None,
-    ) -> None:
-        """Accepts a job here; `passed` tells whether another one may have."""
         if self._stopping:
-            kind = (
-                ErrorKind.STOPPING
-                if passed is False
-                else ErrorKind.OUTCOME_UNKNOWN
-            )
-            raise HibiscusError(kind, "The instance stops.")
+            raise HibiscusError(ErrorKind.STOPPING, "The instance stops.")
         member = self._instances.member
         head: JobHead = {
             "holder": member.name,
@@ -216,7 +133,7 @@
             "ended": False,
             "done": False,
         }
-        stored = self._create(contents, head, deadline, passed)
+        stored = self._create(contents, head, deadline)
         mine = stored.head["submitted_at"] == head["submitted_at"]
         if mine and self._is_mine(stored.head):
             self._hold(LocalJob(contents, stored, (), route, self._tools))
@@ -231,13 +148,10 @@
         )
 
     def _create(
-        self,
-        contents: JobContents,
-        head: JobHead,
-        deadline: float,
-        applied: bool | None,
+        self, contents: JobContents, head: JobHead, deadline: float
     ) -> StoredHead:
         end = min(deadline, self._clock.monotonic() + ACCEPT_TIMEOUT_S)
+        applied: bool | None = False
         while True:
             try:
                 return self._store.create(contents, head, end)
