List no part of a step just before its end

Change: from 1.6 s to 0.45 s before the due moment only the listing that completes the step is made; what is there at the last call is listed then and read in time. What comes after that is late in any case and waits for a second. The test of an earlier listing is replaced by those of this rule.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -104,10 +104,22 @@
       | 8     | 9.9   | a group after       | 9.9    | no  |
       | 8     | 9.9   | the end of          | 9.99   | yes |
 
-  Scenario: results near the due moment are listed early
-    Given 8 finished results that wait since 9.9, a group of the step
-    When it is 10.0 with the last listing at 9.7 and the due moment at 11.0
-    Then listing is due: yes
+  Scenario Outline: groups near the due moment wait for the step's end or the last call
+    Given 8 finished results that wait since <since>, a group of the step
+    When it is 10.0 with the last listing at <listed> and the due moment at <due>
+    Then listing is due: <listing>
+
+    Examples:
+      | since | listed | due  | listing |
+      | 9.9   | 8.5    | 11.7 | yes     |
+      | 9.9   | 8.5    | 11.5 | no      |
+      | 9.9   | 8.5    | 10.5 | no      |
+      | 7.9   | 7.5    | 10.5 | yes     |
+      | 9.9   | 9.7    | 10.4 | yes     |
+      | 9.9   | 9.9    | 10.4 | no      |
+      | 9.9   | 9.7    | 9.9  | yes     |
+      | 9.9   | 9.5    | 9.7  | no      |
+      | 9.9   | 8.9    | 9.7  | yes     |
 
   Scenario Outline: what becomes of a sample after a run
     When a run of a sample ends with <end> after <errors> errors of 3 attempts
--- a/hibiscuspin/decisions/job_order.py
+++ b/hibiscuspin/decisions/job_order.py
@@ -21,8 +21,13 @@
 COMMIT_PERIOD_S = 0.2
 LONGEST_HOLD_S = 2.0
 COMMIT_BYTES = 400_000
-# Results must be read by the due moment.
-DUE_LEAD_S = 1.2
+# A trainer that reads a part of its step now would see the step's end half a
+# second late; most steps end in this time before the due moment.
+QUIET_LEAD_S = 1.6
+# What is listed by then is read in time, also by a trainer that pauses.
+LAST_CALL_S = 0.45
+# Listed later, results are read too late in any case.
+LATE_S = 0.2
 
 # What a lost holder costs at most, against a paid call for each save.
 SAVE_PERIOD_S = 0.7
@@ -122,7 +127,10 @@
         return True
     if now - waiting.since >= LONGEST_HOLD_S:
         return True
-    urgent = waiting.step_ended or now >= due_at - DUE_LEAD_S
+    last_call = due_at - LAST_CALL_S
+    if not waiting.step_ended and due_at - QUIET_LEAD_S <= now < last_call:
+        return False
+    urgent = waiting.step_ended or last_call <= now < due_at + LATE_S
     period_s = COMMIT_PERIOD_S if urgent else GROUP_PERIOD_S
     return waiting.ends_group and now - committed_at >= period_s
 
