Let instances far from the duty gather changes of the fleet, and test the duty

Change: the coordinator and the next three in turn ask each 0.25 s as before, all others each 1.5 s.

--- a/features/live_streams.feature
+++ b/features/live_streams.feature
@@ -28,3 +28,21 @@
       | with a healthy engine    | hang up 1 | none      |
       | with silent open streams | hang up 2 | mute_open |
       | with all streams silent  | hang up 3 | mute      |
+
+  Scenario: live stream, racing_operators
+    Given a streaming caller asks for 400 tokens with prompt "racing operators"
+    When two operators change the configuration at once after 10 tokens
+    Then one change is in force and the other was refused
+    And its answer is whole and its own within 8 s
+
+  Scenario: live stream, paused_holder
+    Given a streaming caller asks for 400 tokens with prompt "paused holder"
+    When its instance is paused for 1.5 s after 10 tokens
+    Then its answer is whole and its own within 8 s
+
+  Scenario: live stream, process_death
+    Given a streaming caller asks for 400 tokens with prompt "process death"
+    When its instance is killed after 10 tokens
+    Then its answer breaks off and does not look whole
+    And the same request to another instance is answered whole
+    And the instance serves again once it is restarted
--- a/features/steps/live_streams_steps.py
+++ b/features/steps/live_streams_steps.py
@@ -3,9 +3,12 @@
 import contextlib
 import http.client
 import json
+import signal
 import socket
 import threading
+import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from behave import given, then, when
@@ -109,6 +112,7 @@
         "max_tokens": tokens,
         "stream": True,
     }
+    context.body = body
     context.expected = "".join(expected_tokens(prompt, seed, tokens))
     address = context.fleet.instances[0].addresses_by_flag["caller"]
     request_id = "live-" + prompt.replace(" ", "-")
@@ -126,6 +130,81 @@
         fleet.faults(context.engine, **FAULTS_BY_NAME[fault])
 
 
+def await_part(context: Any, tokens: int) -> None:
+    wait_for(lambda: context.stream.tokens >= tokens, 10, "a first part")
+    (context.engine,) = records_by_engine(context)
+
+
+@when("two operators change the configuration at once after {tokens:d} tokens")
+def race_operators(context: Any, tokens: int) -> None:
+    await_part(context, tokens)
+    fleet = context.fleet
+    shown = fleet.admin(fleet.instances[0], "GET", "config")
+
+    def change(instance: Any) -> int:
+        body = {
+            "config": shown["config"],
+            "seen": shown["revision"],
+            "author": instance.name,
+        }
+        try:
+            answer = fleet.admin(instance, "PUT", "config", body)
+        except RuntimeError:
+            return 0
+        return int(answer["revision"])
+
+    with ThreadPoolExecutor(2) as pool:
+        context.revisions = list(pool.map(change, fleet.instances))
+
+
+@then("one change is in force and the other was refused")
+def check_one_change(context: Any) -> None:
+    refused, revision = sorted(context.revisions)
+    assert not refused and revision, context.revisions
+    context.fleet.wait_configured(revision)
+
+
+@when("its instance is paused for {seconds:g} s after {tokens:d} tokens")
+def pause_instance(context: Any, seconds: float, tokens: int) -> None:
+    await_part(context, tokens)
+    process = context.fleet.instances[0].process
+    process.send(signal.SIGSTOP)
+    time.sleep(seconds)
+    process.send(signal.SIGCONT)
+
+
+@when("its instance is killed after {tokens:d} tokens")
+def kill_instance(context: Any, tokens: int) -> None:
+    await_part(context, tokens)
+    context.fleet.instances[0].process.kill()
+
+
+@then("its answer breaks off and does not look whole")
+def check_broken_off(context: Any) -> None:
+    assert context.stream.join(5.0)
+    assert not context.stream.ended
+    assert context.expected.startswith(context.stream.text)
+
+
+@then("the same request to another instance is answered whole")
+def check_other(context: Any) -> None:
+    address = context.fleet.instances[1].addresses_by_flag["caller"]
+    first = context.stream
+    context.stream = StreamingCaller(address, first.request_id, context.body)
+    assert context.stream.join(10.0)
+    assert context.stream.text == context.expected
+
+
+@then("the instance serves again once it is restarted")
+def restart_instance(context: Any) -> None:
+    fleet = context.fleet
+    killed = fleet.instances[0]
+    others = fleet.instances[1:]
+    fleet.daemon(killed.name, killed.data_centre)
+    fleet.wait_started()
+    fleet.wait_configured(max(map(fleet.revision_of, others)))
+
+
 @when("the caller hangs up")
 def hang_up(context: Any) -> None:
     context.stream.hang_up()
--- /dev/null
+++ b/features/steps/platform_instances_steps.py
@@ -0,0 +1,121 @@
+"""Steps on the registration of instances and the duty, in-process."""
+
+import random
+from collections import Counter
+from typing import Any
+
+from behave import given, then, when
+
+from features.platform_fakes import MemoryStore
+from features.shared_store import FakeClock
+from hibiscuspin.decisions.recovery import Member
+from hibiscuspin.tasks.instances import LIVE_PREFIX, Instances, Term
+
+TAKEOVER_S = 3.0
+
+
+def show(context: Any) -> None:
+    """Has all instances hear what the store has."""
+    scan = context.store.scan(LIVE_PREFIX, 0.0)
+    values = {value.key: value for value in scan.values}
+    for instance in context.instances:
+        instance.on_values(values)
+
+
+def terms(context: Any) -> list[Term]:
+    found = [instance.term() for instance in context.instances]
+    return [term for term in found if term is not None]
+
+
+def holder(context: Any) -> Any:
+    return next(i for i in context.instances if i.term() is not None)
+
+
+@given('instances "{names}" that have registered')
+def register(context: Any, names: str) -> None:
+    context.store = MemoryStore()
+    context.clock = FakeClock()
+    context.instances = [
+        Instances(
+            Member(name, "1", f"{name}:1", "dc"),
+            context.store,
+            context.clock,
+            random.Random(1),
+            TAKEOVER_S,
+        )
+        for name in names.split()
+    ]
+    renew(context)
+
+
+@when("all instances renew their leases")
+def renew(context: Any) -> None:
+    for instance in context.instances:
+        instance._keep()
+    show(context)
+
+
+@when("all instances seek the duty")
+def seek(context: Any) -> None:
+    renew(context)
+    # Each rank of candidates waits for its turn.
+    context.clock.now += 2.0
+    renew(context)
+    for instance in context.instances:
+        instance._seek_duty()
+    show(context)
+
+
+@when("the holder's lease ends and {seconds:g} s pass")
+def end_lease(context: Any, seconds: float) -> None:
+    lost = holder(context)
+    context.before = lost.term()
+    context.store.revoke_lease(lost._registration.lease, 0.0)
+    context.clock.now += seconds
+    if seconds > 1.0:
+        # The instance itself is gone as well.
+        context.instances.remove(lost)
+    show(context)
+
+
+@when("{seconds:g} s pass without a renewal")
+def wait(context: Any, seconds: float) -> None:
+    context.clock.now += seconds
+
+
+@then("exactly one has a term")
+def check_one(context: Any) -> None:
+    assert len(terms(context)) == 1, terms(context)
+
+
+@then("exactly one has a term, with a higher fence than before")
+def check_next(context: Any) -> None:
+    (context.term,) = terms(context)
+    assert context.term.fencing > context.before.fencing
+
+
+@then("its first order may be given {seconds:g} s later")
+def check_takeover(context: Any, seconds: float) -> None:
+    assert context.term.orders_from == context.clock.now + seconds
+
+
+@then("no instance has a term")
+def check_none(context: Any) -> None:
+    assert not terms(context), terms(context)
+
+
+@then("all instances are registered")
+def check_registered(context: Any) -> None:
+    names = {instance.member.name for instance in context.instances}
+    assert all(set(i.members()) == names for i in context.instances)
+
+
+@then(
+    "{near:d} instances ask for changes each {soon:g} s and {far:d} each "
+    "{late:g} s"
+)
+def check_gaps(
+    context: Any, near: int, soon: float, far: int, late: float
+) -> None:
+    gaps = Counter(i.watch_gap_s() for i in context.instances)
+    assert gaps == {soon: near, late: far}, gaps
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -47,8 +47,6 @@
 SAMPLE_THREADS = 256
 # Each open job has one call to the store under way.
 WRITE_THREADS = 16
-# A fleet's instances register within a second of each other.
-LIVE_GAP_S = 0.25
 METRICS_VARIABLE = "HIBISCUSPIN_METRICS_PORT"
 METRICS_PORT = 9464
 # The balancer takes an instance out after two refusals, a second apart.
@@ -252,7 +250,7 @@
                 self._clock,
                 draw,
                 self._instances.on_values,
-                gap_s=LIVE_GAP_S,
+                gap_s=self._instances.watch_gap_s,
             ),
             self._directory,
             self._instances,
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -42,6 +42,11 @@
 # The holder stops acting this long before the store may end its lease.
 SAFETY_MARGIN_S = 0.3
 CALL_TIMEOUT_S = 1.6
+# A fleet's instances register within a second of each other. The coordinator
+# and those next in turn must see a loss soon; the others' view may lag.
+NEAR_GAP_S = 0.25
+FAR_GAP_S = 1.5
+NEAR_TURNS = 3
 # Each rank of candidates waits this much longer for a free duty.
 TURN_S = 0.3
 
@@ -105,6 +110,16 @@
         duty = self._duty
         return duty.value.decode() if duty is not None else ""
 
+    def watch_gap_s(self) -> float:
+        """Returns how long changes of the live instances may gather."""
+        near = self._term is not None or self._turn() < NEAR_TURNS
+        return NEAR_GAP_S if near else FAR_GAP_S
+
+    def _turn(self) -> int:
+        """Returns how many instances take a free duty before this one."""
+        names = {*self._members_by_name, self.member.name}
+        return rendezvous.rank("coordinator", names).index(self.member.name)
+
     def members(self) -> dict[str, Member]:
         """Returns the live instances by name, as last heard."""
         return dict(self._members_by_name)
@@ -225,10 +240,8 @@
         lease = self._registration.lease
         if not lease or self._duty is not None or self._leaving.is_set():
             return
-        names = {*self._members_by_name, self.member.name}
-        turn = rendezvous.rank("coordinator", names).index(self.member.name)
         now = self._clock.monotonic()
-        if now < self._duty_free_since + turn * TURN_S:
+        if now < self._duty_free_since + self._turn() * TURN_S:
             return
         self._take_duty(lease)
 
--- a/hibiscuspin/tasks/prefix_watcher.py
+++ b/hibiscuspin/tasks/prefix_watcher.py
@@ -41,7 +41,7 @@
         draw: random.Random,
         listener: Listener,
         *,
-        gap_s: float = 0.0,
+        gap_s: Callable[[], float] = lambda: 0.0,
         active: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the task.
@@ -52,8 +52,8 @@
             clock: The time.
             draw: Spreads the retries of a fleet.
             listener: Called with all values after a change.
-            gap_s: How long changes gather before they are asked for, since
-                each answer of the store is a call.
+            gap_s: Returns how long changes gather before they are asked
+                for, since each answer of the store is a call.
             active: Whether the prefix is watched at all.
         """
         self.name = f"watch {prefix}"
@@ -84,7 +84,7 @@
                 if revision is None:
                     revision = self._scan()
                 revision = self._watch(revision)
-                stop.wait(self._gap_s)
+                stop.wait(self._gap_s())
             except HistoryLostError:
                 _log.info("History lost.", extra={"prefix": self._prefix})
                 revision = None
