--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -104,10 +104,22 @@
       | 8     | 9.9   | a group after       | 9.9    | no  |
       | 8     | 9.9   | the end of          | 9.99   | yes |
 
-  Scenario: results near the due moment are listed early
-    Given 8 finished results that wait since 9.9, a group of the step
-    When it is 10.0 with the last listing at 9.7 and the due moment at 11.0
-    Then listing is due: yes
+  Scenario Outline: groups near the due moment wait for the step's end or the last call
+    Given 8 finished results that wait since <since>, a group of the step
+    When it is 10.0 with the last listing at <listed> and the due moment at <due>
+    Then listing is due: <listing>
+
+    Examples:
+      | since | listed | due  | listing |
+      | 9.9   | 8.5    | 11.7 | yes     |
+      | 9.9   | 8.5    | 11.5 | no      |
+      | 9.9   | 8.5    | 10.5 | no      |
+      | 7.9   | 7.5    | 10.5 | yes     |
+      | 9.9   | 9.7    | 10.4 | yes     |
+      | 9.9   | 9.9    | 10.4 | no      |
+      | 9.9   | 9.7    | 9.9  | yes     |
+      | 9.9   | 9.5    | 9.7  | no      |
+      | 9.9   | 8.9    | 9.7  | yes     |
 
   Scenario Outline: what becomes of a sample after a run
     When a run of a sample ends with <end> after <errors> errors of 3 attempts
@@ -178,22 +190,22 @@
       | 1        | 8.0    | 3      | direct 0 1 |
       | 1        | 9.0    | 0      | direct    |
 
-  Scenario Outline: under pressure only half of the engines load for a version
+  Scenario Outline: an engine with the version before loads when others have room
     Given engines "<engines>"
-    When version 3 is wanted under pressure and "<loading>" loads
+    When version 3 was named <ago> s ago and "<loading>" loads
     Then the engines "<names>" load next
 
     Examples:
-      | engines                     | loading | names |
-      | a:2,0 b:2,0 c:2,0 d:2,0     | none    | a b   |
-      | a:3,0 b:2,0 c:2,0 d:2,0     | none    | b     |
-      | a:3,0 b:3,0 c:2,0 d:2,0     | none    |       |
-      | a:3,0 b:1,0 c:1,0 d:2,0     | none    | b c   |
-      | a:3,0 b:3,0 c:1,0 d:1,0     | c       | d     |
-      | a:3,0 b:3,0 c:3,0 d:1,0     | none    | d     |
-
-  Scenario: open samples press where they need most of the places
-    Then 43 samples before 72 places don't press and 44 do
+      | engines                 | ago | loading | names |
+      | a:2,8 b:2,8 c:2,8 d:2,8 | 2.0 | none    |       |
+      | a:2,2 b:2,1 c:2,3 d:2,8 | 0.5 | none    |       |
+      | a:2,2 b:2,1 c:2,3 d:2,8 | 1.5 | none    | b a   |
+      | a:2,2 b:2,1 c:2,3 d:2,8 | 1.5 | b       | a     |
+      | a:2,7 b:2,8 c:2,8 d:2,8 | 1.5 | none    |       |
+      | a:3,8 b:2,8 c:2,0 d:2,8 | 1.5 | none    | c     |
+      | a:3,0 b:1,8 c:1,8 d:2,8 | 0.5 | none    | b c   |
+      | a:3,0 b:3,0 c:1,8 d:1,8 | 0.5 | c       | d     |
+      | a:1,0 b:1,0 c:2,8 d:2,8 | 1.5 | a       | b     |
 
   Scenario Outline: what was begun goes before what was not
     Then a sample with <events> events of a step <age> s old has urgency <urgency>
@@ -241,11 +253,20 @@
       | 10   | 160  | 40   |
       | 0    | 0    | 1    |
 
-  Scenario: one instance of a data centre reads the list, others only without it
-    Given instances "a b c d e" of one data centre that heard the list at 10.0
+  Scenario: one instance of a region reads the list, others only without it
+    Given instances "a b c d e" of one region that heard the list at 10.0
     Then one of them reads at 10.9 and the others from 11.2 on, at most at 12.0
 
   Scenario: the reader's turn moves on when it has gone
-    Given instances "a b c" of one data centre that heard the list at 10.0
+    Given instances "a b c" of one region that heard the list at 10.0
     When the first reader has gone
     Then one of them reads at 10.9 and the others from 11.2 on, at most at 12.0
+
+  Scenario Outline: the list is read as often as the drain time asks
+    Then with a drain time of <drain> s a list that nobody reads is <age> s old
+
+    Examples:
+      | drain | age  |
+      | 0.5   | 1.65 |
+      | 2.5   | 2.25 |
+      | 4.0   | 2.79 |
