--- a/features/steps/platform_weights_steps.py
+++ b/features/steps/platform_weights_steps.py
@@ -31,59 +31,63 @@
         context.versions[f"f{number}"] = {model: 1}
 
 
-@when("homes are chosen for version {wanted:d} of all")
-def choose_homes(context: Any, wanted: int) -> None:
+@when("engines are assigned for version {wanted:d} of all")
+def assign(context: Any, wanted: int) -> None:
     models = {model for row in context.versions.values() for model in row}
     context.wanted = dict.fromkeys(sorted(models), wanted)
-    context.homes = weight_orders.homes(context.wanted, context.versions)
+    context.assigned = weight_orders.assign(context.wanted, context.versions)
 
 
 @when(
-    "the homes load, and homes are chosen for version {wanted:d} of all",
+    "they load, and engines are assigned for version {wanted:d} of all",
 )
 def load_and_choose(context: Any, wanted: int) -> None:
-    context.before = context.homes
-    for model, names in context.homes.items():
+    context.before = context.assigned
+    for model, names in context.assigned.items():
         for name in names:
             context.versions[name][model] = context.wanted[model]
-    choose_homes(context, wanted)
+    assign(context, wanted)
 
 
-@when("one engine is lost, and homes are chosen for version {wanted:d} of all")
+@when(
+    "one engine is lost, and engines are assigned for version {wanted:d} of all"
+)
 def lose_and_choose(context: Any, wanted: int) -> None:
-    context.before = context.homes
-    name = context.homes["m0"][0]
+    context.before = context.assigned
+    name = context.assigned["m0"][0]
     del context.versions[name]
-    choose_homes(context, wanted)
+    assign(context, wanted)
 
 
 @then(
-    "each model has {count:d} homes and no engine is home of more than {most:d}"
+    "each model has {count:d} engines and none has more than {most:d} models"
 )
-def check_homes(context: Any, count: int, most: int) -> None:
-    assert {len(names) for names in context.homes.values()} == {count}
-    taken = Counter(name for names in context.homes.values() for name in names)
+def check_assigned(context: Any, count: int, most: int) -> None:
+    assert {len(names) for names in context.assigned.values()} == {count}
+    taken = Counter(
+        name for names in context.assigned.values() for name in names
+    )
     assert max(taken.values()) <= most, taken
 
 
-@then('model "{model}" has {count:d} homes and model "{other}" has {rest:d}')
+@then('model "{model}" has {count:d} engines and model "{other}" has {rest:d}')
 def check_two(
     context: Any, model: str, count: int, other: str, rest: int
 ) -> None:
-    assert len(context.homes[model]) == count, context.homes
-    assert len(context.homes[other]) == rest, context.homes
+    assert len(context.assigned[model]) == count, context.assigned
+    assert len(context.assigned[other]) == rest, context.assigned
 
 
-@then("all homes are the same as before")
+@then("all models have the same engines as before")
 def check_same(context: Any) -> None:
-    for model, names in context.homes.items():
+    for model, names in context.assigned.items():
         assert set(names) == set(context.before[model]), model
 
 
-@then("each model has {count:d} homes and at most {new:d} of each are new")
+@then("each model has {count:d} engines, of which {new:d} is new at most")
 def check_few_moves(context: Any, count: int, new: int) -> None:
-    for model, names in context.homes.items():
-        assert len(names) == count, context.homes
+    for model, names in context.assigned.items():
+        assert len(names) == count, context.assigned
         moved = set(names) - set(context.before[model])
         assert len(moved) <= new, (model, moved)
 
@@ -97,8 +101,8 @@
     return rows
 
 
-@given('homes "{texts}" of model "{model}"')
-def set_homes(context: Any, texts: str, model: str) -> None:
+@given('assigned engines "{texts}" of model "{model}"')
+def set_assigned(context: Any, texts: str, model: str) -> None:
     if not hasattr(context, "views_by_model"):
         context.views_by_model = {}
     context.views_by_model[model] = views(texts)
@@ -166,14 +170,14 @@
             if now >= load.ends_at:
                 self.versions[name][load.model] = load.version
                 del self.loads[name]
-        homes = {model: list(self.versions) for model in self.wanted}
+        assigned = {model: list(self.versions) for model in self.wanted}
         if self.shared:
-            homes = weight_orders.homes(self.wanted, self.versions)
+            assigned = weight_orders.assign(self.wanted, self.versions)
         by_model = {
             model: [
                 EngineView(n, self.versions[n][model], 0, SLOTS) for n in names
             ]
-            for model, names in homes.items()
+            for model, names in assigned.items()
         }
         at_once = weight_orders.loads_at_once(len(self.versions))
         for model in weight_orders.turns(self.wanted, by_model):
@@ -216,14 +220,14 @@
 
 @then(
     "each newest step always has {engines:d} engines at least, and more than "
-    "if all were homes"
+    "if each had all"
 )
 def check_able(context: Any, engines: int) -> None:
     found = (context.chosen.fewest, context.all.fewest)
     assert found[0] >= engines and found[0] > found[1], found
 
 
-@then("fewer loads are made than if all were homes, {most:d} a version at most")
+@then("fewer loads are made than if each had all, {most:d} a version at most")
 def check_loads(context: Any, most: int) -> None:
     chosen = context.chosen.loaded
     assert chosen < context.all.loaded
--- a/hibiscuspin/decisions/weight_orders.py
+++ b/hibiscuspin/decisions/weight_orders.py
@@ -9,7 +9,7 @@
 
 Load pattern: several trainers share the engines. If each engine loaded each
 version of each model, loads would take longer than the steps between them.
-Each model therefore has homes, a part of the engines, which load its
+A part of the engines is therefore assigned to each model and loads its
 versions; the parts overlap, so that a burst of one model finds the places of
 others.
 """
@@ -24,8 +24,8 @@
 __all__ = [
     "EngineView",
     "ModelNeed",
-    "home_count",
-    "homes",
+    "assign",
+    "assigned_count",
     "loads_at_once",
     "next_engines",
     "turns",
@@ -36,9 +36,9 @@
 LEAST_AT_ONCE = 2
 # The samples of a step run a second after its version was named.
 SETTLE_S = 1.0
-# How many models an engine is a home of, on average, where several share
+# How many models an engine is assigned to, on average, where several share
 # the engines.
-HOME_OVERLAP = 1.5
+OVERLAP = 1.5
 
 
 class EngineView(NamedTuple):
@@ -58,7 +58,7 @@
 
 
 class ModelNeed(NamedTuple):
-    """What a model's homes are to load.
+    """What the engines of a model are to load.
 
     Attributes:
         model: The model.
@@ -76,25 +76,25 @@
     return max(LEAST_AT_ONCE, int(engines * LOADING_SHARE))
 
 
-def home_count(engines: int, models: int) -> int:
-    """Returns how many engines are homes of each of some models."""
+def assigned_count(engines: int, models: int) -> int:
+    """Returns how many engines each of some models gets."""
     if models <= 1:
         return engines
-    return min(engines, math.ceil(engines * HOME_OVERLAP / models))
+    return min(engines, math.ceil(engines * OVERLAP / models))
 
 
-def homes(
+def assign(
     wanted_by_model: Mapping[str, int],
     versions_by_engine: Mapping[str, Mapping[str, int]],
 ) -> dict[str, list[str]]:
-    """Returns the homes of each model.
+    """Returns the engines that load the versions of each model.
 
     Models choose in turn. An engine that has followed a model is chosen
-    before others, so that homes change only when engines come and go; among
+    before others, so that little changes but when engines come and go; among
     equals, one that few models have chosen.
 
     Args:
-        wanted_by_model: The version that each model's homes are to serve.
+        wanted_by_model: The version that each model is to be served in.
         versions_by_engine: The version of each model that an engine serves.
     """
     chosen: dict[str, list[str]] = {model: [] for model in wanted_by_model}
@@ -108,7 +108,7 @@
         for model in sorted(wanted_by_model)
     }
     count_by_model = {
-        model: home_count(
+        model: assigned_count(
             len(names),
             len(
                 {other for name in names for other in versions_by_engine[name]}
@@ -137,7 +137,7 @@
 ) -> list[str]:
     """Returns the models in the order in which they may load.
 
-    The one with the smallest share of homes that serve its version goes
+    The one with the smallest share of engines that serve its version goes
     first, so that no model waits until another has moved as a whole.
     """
 
@@ -161,7 +161,7 @@
 
     Args:
         need: What the model needs.
-        engines: Its homes.
+        engines: Those that are assigned to it.
         model_by_loading: The engines that load already, and what.
         room: How many more may load at once, whichever model.
         now: The monotonic time.
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -36,8 +36,8 @@
 _log = get_logger("weights")
 
 
-class _HomeInputs(NamedTuple):
-    """What homes are chosen by."""
+class _AssignInputs(NamedTuple):
+    """What engines are assigned by."""
 
     wanted_by_model: dict[str, int]
     versions_by_engine: dict[str, dict[str, int]]
@@ -75,8 +75,8 @@
         self._finish_first = finish_first
         self._clock = clock
         self._model_by_loading: dict[str, str] = {}
-        self._home_inputs: _HomeInputs | None = None
-        self._homes_by_model: dict[str, list[str]] = {}
+        self._assign_inputs: _AssignInputs | None = None
+        self._engines_by_model: dict[str, list[str]] = {}
         # The newest version of each model, and when it was heard of.
         self._named_by_model: dict[str, tuple[int, float]] = {}
         self._loads = ThreadPoolExecutor(
@@ -104,6 +104,7 @@
             and not target.record.draining
         }
         open_by_name = self._targets.open_everywhere()
+        assigned = self._assigned(wanted_by_model, engines)
         views_by_model = {
             model: [
                 EngineView(
@@ -114,7 +115,7 @@
                 )
                 for name in names
             ]
-            for model, names in self._homes(wanted_by_model, engines).items()
+            for model, names in assigned.items()
         }
         at_once = weight_orders.loads_at_once(len(engines))
         for model in weight_orders.turns(wanted_by_model, views_by_model):
@@ -132,11 +133,11 @@
                     self._clear_and_load, names, model, wanted, term, stop
                 )
 
-    def _homes(
+    def _assigned(
         self, wanted_by_model: Mapping[str, int], engines: Mapping[str, Target]
     ) -> dict[str, list[str]]:
-        """Returns each model's homes; chosen again only after a change."""
-        inputs = _HomeInputs(
+        """Returns each model's engines; chosen anew only after a change."""
+        inputs = _AssignInputs(
             dict(wanted_by_model),
             {
                 name: {model: target.version(model) for model in models}
@@ -147,13 +148,15 @@
                 )
             },
         )
-        if inputs != self._home_inputs:
-            homes = weight_orders.homes(*inputs)
-            if homes != self._homes_by_model:
-                _log.info("Homes chosen.", extra={"homes_by_model": homes})
-            self._home_inputs = inputs
-            self._homes_by_model = homes
-        return self._homes_by_model
+        if inputs != self._assign_inputs:
+            chosen = weight_orders.assign(*inputs)
+            if chosen != self._engines_by_model:
+                _log.info(
+                    "Engines assigned.", extra={"engines_by_model": chosen}
+                )
+            self._assign_inputs = inputs
+            self._engines_by_model = chosen
+        return self._engines_by_model
 
     def _note_names(self, wanted_by_model: Mapping[str, int]) -> None:
         """Keeps when each version was heard of first."""
