--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -11,7 +11,7 @@
 from hibiscuspin.clock import monotonic
 from hibiscuspin.decisions import job_order
 from hibiscuspin.errors import ErrorKind, HibiscusError
-from hibiscuspin.tasks import local_job
+from hibiscuspin.tasks import job_writer
 from hibiscuspin.tasks.job_recovery import JobRecovery
 from hibiscuspin.tasks.job_store import ItemResult, JobStore
 
@@ -217,7 +217,7 @@
     for target, name, value in (
         (job_order, "SAVE_PERIOD_S", 0.05),
         (job_order, "SAVE_EVENTS", 1),
-        (local_job, "SAVED_EVENTS", 1),
+        (job_writer, "SAVED_EVENTS", 1),
     ):
         patch = mock.patch.object(target, name, value)
         patch.start()
--- a/features/steps/platform_weights_steps.py
+++ b/features/steps/platform_weights_steps.py
@@ -59,9 +59,7 @@
     assign(context, wanted)
 
 
-@then(
-    "each model has {count:d} engines and none has more than {most:d} models"
-)
+@then("each model has {count:d} engines and none has more than {most:d} models")
 def check_assigned(context: Any, count: int, most: int) -> None:
     assert {len(names) for names in context.assigned.values()} == {count}
     taken = Counter(
--- /dev/null
+++ b/hibiscuspin/tasks/job_writer.py
@@ -0,0 +1,341 @@
+"""Writes what a job has made to the store, one call at a time.
+
+The control thread of a job calls all methods; only `results` is for readers.
+Calls to the store run in worker threads, whose ends the control thread takes
+from its queue and hands to `take`.
+"""
+
+import threading
+from collections import Counter
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+from typing import NamedTuple, TypeVar
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import job_order
+from hibiscuspin.decisions.samples import Made
+from hibiscuspin.edges import StoreError
+from hibiscuspin.logs import get_logger
+from hibiscuspin.tasks.job_store import (
+    FencedError,
+    ItemResult,
+    JobContents,
+    JobStore,
+    StoredHead,
+)
+from hibiscuspin.tasks.sample_runs import Sample
+
+__all__ = ["JobWriter", "Written"]
+
+# The trainer's end must reach the holder well before 3 s.
+VERIFY_PERIOD_S = 1.0
+WRITE_TIMEOUT_S = 2.0
+WRITE_RETRY_S = 0.1
+# Shorter samples are made again as fast as they are read back.
+SAVED_EVENTS = 12
+SAVED_BYTES = 500_000
+
+T = TypeVar("T")
+
+_log = get_logger("rollouts")
+
+
+class Written(NamedTuple):
+    """A call to the store has ended; `error` is None if it succeeded."""
+
+    finish: Callable[[], None]
+    error: Exception | None
+
+
+class _Chunk(NamedTuple):
+    """Results that a write was tried for; its content does not change."""
+
+    first: int
+    results: tuple[ItemResult, ...]
+    done: bool
+
+
+class JobWriter:
+    """Lists results, saves unfinished samples and watches the fence.
+
+    Attributes:
+        stored: The job's head under which it is held here.
+    """
+
+    def __init__(
+        self,
+        contents: JobContents,
+        stored: StoredHead,
+        listed: Sequence[ItemResult],
+        due_at: float,
+        store: JobStore,
+        workers: Executor,
+        report: Callable[[Written], None],
+        clock: Clock,
+    ) -> None:
+        """Creates the writer.
+
+        Args:
+            contents: The job.
+            stored: Its head.
+            listed: Results that are listed already.
+            due_at: When the job's results are due.
+            store: Where jobs are kept.
+            workers: The threads of calls to the store.
+            report: Brings the end of a call to the control thread.
+            clock: The time.
+        """
+        self.stored = stored
+        self._job = contents.job
+        self._total = len(contents.items)
+        self._due_at = due_at
+        self._store = store
+        self._workers = workers
+        self._report = report
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._listed = list(listed)
+        self._finished: list[ItemResult] = []
+        self._finished_since = 0.0
+        self._chunk: _Chunk | None = None
+        self._writing = False
+        now = clock.monotonic()
+        self._committed_at = 0.0
+        self._retry_at = 0.0
+        self._saved_at = self._verified_at = now
+        self._saved_events = 0
+        self._group_by_name = {item.name: item.group for item in contents.items}
+        groups = set(self._group_by_name.values())
+        self._groups = len(groups)
+        self._wanted_groups = min(
+            contents.wanted_groups or len(groups), len(groups)
+        )
+        known = {result.name for result in listed}
+        # Items of each group that are not finished, and not listed.
+        self._left_by_group = Counter(
+            item.group for item in contents.items if item.name not in known
+        )
+        self._unlisted_by_group = Counter(self._left_by_group)
+
+    @property
+    def listed(self) -> list[ItemResult]:
+        """The results that are listed, in their order."""
+        return self._listed
+
+    @property
+    def done(self) -> bool:
+        """Whether all results are listed."""
+        return len(self._listed) == self._total
+
+    @property
+    def settled(self) -> bool:
+        """Whether no listing has an outcome that is not known yet."""
+        return self._chunk is None
+
+    def results(
+        self, after: int, until: float, over: Callable[[], bool]
+    ) -> list[ItemResult]:
+        """Returns the results from a position on, waiting for one.
+
+        Args:
+            after: The position.
+            until: When to stop waiting.
+            over: Tells whether none will come any more.
+        """
+        with self._changed:
+            while len(self._listed) <= after and not over():
+                left_s = until - self._clock.monotonic()
+                if left_s <= 0:
+                    break
+                self._changed.wait(left_s)
+            return self._listed[after:]
+
+    def wake(self) -> None:
+        """Wakes the readers."""
+        with self._changed:
+            self._changed.notify_all()
+
+    def add(self, result: ItemResult) -> None:
+        """Takes the result of a sample that has ended."""
+        if not self._finished:
+            self._finished_since = self._clock.monotonic()
+        self._finished.append(result)
+        self._left_by_group[self._group_by_name[result.name]] -= 1
+
+    def take(self, written: Written) -> None:
+        """Takes the end of a call to the store.
+
+        Raises:
+            FencedError: The job was ended or taken over elsewhere.
+        """
+        self._writing = False
+        error = written.error
+        if error is None:
+            written.finish()
+        elif isinstance(error, StoreError):
+            self._retry_at = self._clock.monotonic() + WRITE_RETRY_S
+            _log.info(
+                "Job not written yet.",
+                extra={"job": self._job, "reason": str(error)},
+            )
+        else:
+            raise error
+
+    def write(self, samples: Sequence[Sample], now: float) -> None:
+        """Starts the call to the store that is due, if any.
+
+        Args:
+            samples: The samples of the job that are held here.
+            now: The monotonic time.
+        """
+        if self._writing or now < self._retry_at:
+            return
+        if self._chunk is None:
+            self._chunk = self._next_chunk(now)
+        events = sum(
+            len(sample.made)
+            for sample in samples
+            if len(sample.made) >= SAVED_EVENTS
+        )
+        if self._chunk is not None:
+            self._list(self._chunk)
+        elif job_order.save_due(
+            events - self._saved_events, self._saved_at, now
+        ):
+            self._saved_at, self._saved_events = now, events
+            self._save(self._made_to_save(samples))
+        elif now - self._verified_at >= VERIFY_PERIOD_S:
+            self._verify()
+
+    def _submit(
+        self, call: Callable[[float], T], finish: Callable[[T], None]
+    ) -> None:
+        """Runs a call to the store in a worker thread."""
+        self._writing = True
+        self._workers.submit(self._call, call, finish)
+
+    def _call(
+        self, call: Callable[[float], T], finish: Callable[[T], None]
+    ) -> None:
+        deadline = self._clock.monotonic() + WRITE_TIMEOUT_S
+        try:
+            result = call(deadline)
+        except Exception as error:
+            self._report(Written(lambda: None, error))
+        else:
+            self._report(Written(lambda: finish(result), None))
+
+    def _list(self, chunk: _Chunk) -> None:
+        def call(deadline: float) -> StoredHead:
+            return self._store.add_results(
+                self._job,
+                self.stored,
+                chunk.first,
+                chunk.results,
+                chunk.done,
+                deadline,
+            )
+
+        def finish(stored: StoredHead) -> None:
+            self.stored = stored
+            self._chunk = None
+            self._committed_at = self._verified_at = self._clock.monotonic()
+            for result in chunk.results:
+                self._unlisted_by_group[self._group_by_name[result.name]] -= 1
+            with self._changed:
+                self._listed += chunk.results
+                self._changed.notify_all()
+            _log.info(
+                "Results listed.",
+                extra={
+                    "job": self._job,
+                    "first": chunk.first,
+                    "results": len(chunk.results),
+                    "revision": stored.revision,
+                },
+            )
+
+        self._submit(call, finish)
+
+    def _save(self, made_by_name: dict[str, list[Made]]) -> None:
+        def call(deadline: float) -> None:
+            self._store.save_made(
+                self._job, self.stored, made_by_name, deadline
+            )
+
+        def finish(result: None) -> None:
+            self._verified_at = self._clock.monotonic()
+
+        self._submit(call, finish)
+
+    def _verify(self) -> None:
+        """Finds out whether the job was ended or taken over elsewhere."""
+        revision = self.stored.revision
+
+        def call(deadline: float) -> StoredHead | None:
+            return self._store.head(self._job, deadline)
+
+        def finish(current: StoredHead | None) -> None:
+            self._verified_at = self._clock.monotonic()
+            if current is None or current.revision != revision:
+                raise FencedError(current)
+
+        self._submit(call, finish)
+
+    def _made_to_save(self, samples: Sequence[Sample]) -> dict[str, list[Made]]:
+        """Returns the events of the longest samples that are not listed."""
+        known = {result.name for result in self._listed}
+        rows = [sample for sample in samples if sample.item.name not in known]
+        rows.sort(key=lambda sample: -len(sample.made))
+        made_by_name: dict[str, list[Made]] = {}
+        size = 0
+        for sample in rows:
+            made = list(sample.made)
+            size += sum(len(event.data) for event in made)
+            if len(made) < SAVED_EVENTS or size > SAVED_BYTES:
+                break
+            made_by_name[sample.item.name] = made
+        return made_by_name
+
+    def _next_chunk(self, now: float) -> _Chunk | None:
+        finished = self._finished
+        last = not any(self._left_by_group.values())
+        groups = {self._group_by_name[result.name] for result in finished}
+        waiting = job_order.Waiting(
+            results=len(finished),
+            size=sum(len(result.text) for result in finished),
+            since=self._finished_since,
+            ends_group=any(not self._left_by_group[g] for g in groups),
+            ends_step=(
+                self._whole(self._unlisted_by_group)
+                < self._wanted_groups
+                <= self._whole(self._left_by_group)
+            ),
+            step_ended=(
+                self._whole(self._unlisted_by_group) >= self._wanted_groups
+            ),
+            last=last,
+        )
+        if not job_order.commit_due(
+            waiting, self._committed_at, self._due_at, now
+        ):
+            return None
+        results, rest = self._split(finished)
+        self._finished = rest
+        self._finished_since = now
+        return _Chunk(len(self._listed), results, last and not rest)
+
+    def _whole(self, count_by_group: Counter[str]) -> int:
+        """Returns how many groups have nothing left."""
+        return self._groups - sum(n > 0 for n in count_by_group.values())
+
+    def _split(
+        self, finished: list[ItemResult]
+    ) -> tuple[tuple[ItemResult, ...], list[ItemResult]]:
+        """Splits off as many results as one write may have."""
+        size = 0
+        for count, result in enumerate(finished):
+            size += len(result.text)
+            if size > job_order.COMMIT_BYTES and count:
+                return tuple(finished[:count]), finished[count:]
+        return tuple(finished), []
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -1,24 +1,22 @@
-"""A batch job that this instance holds: starts samples, lists results.
+"""A batch job that this instance holds.
 
 One control thread owns the job. It starts runs in worker threads, takes
-their ends from a queue, and writes finished results to the store; readers
-see only what is written.
+their ends from a queue, and hands finished results to its `JobWriter`;
+readers see only what is written.
 """
 
 import queue
 import threading
 import time
-from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Executor
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import job_order, placement, samples
 from hibiscuspin.decisions.placement import TargetView
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import End, Next
-from hibiscuspin.edges import StoreError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.job_store import (
@@ -28,26 +26,18 @@
     JobStore,
     StoredHead,
 )
+from hibiscuspin.tasks.job_writer import JobWriter, Written
 from hibiscuspin.tasks.sample_runs import RunLimits, Sample, SampleRun
 
 __all__ = ["JobTools", "LocalJob"]
 
 TICK_S = 0.04
-# The trainer's end must reach the holder well before 3 s.
-VERIFY_PERIOD_S = 1.0
-WRITE_TIMEOUT_S = 2.0
-WRITE_RETRY_S = 0.1
-# Shorter samples are made again as fast as they are read back.
-SAVED_EVENTS = 12
-SAVED_BYTES = 500_000
 MOVE_PERIOD_S = 0.25
 MAX_MOVES = 2
 LEAVE_POLL_S = 0.02
 # Results are on time until this long after the due moment.
 DUE_GRACE_S = 0.5
 
-T = TypeVar("T")
-
 _log = get_logger("rollouts")
 
 
@@ -73,14 +63,6 @@
     clock: Clock
 
 
-class _Chunk(NamedTuple):
-    """Results that a write was tried for; its content does not change."""
-
-    first: int
-    results: tuple[ItemResult, ...]
-    done: bool
-
-
 class _Ended(NamedTuple):
     """A run has ended."""
 
@@ -88,13 +70,6 @@
     end: End
 
 
-class _Written(NamedTuple):
-    """A call to the store has ended; `error` is None if it succeeded."""
-
-    finish: Callable[[], None]
-    error: Exception | None
-
-
 class LocalJob:
     """A job from its acceptance or takeover until it ends or moves on."""
 
@@ -108,50 +83,39 @@
         made_by_name: dict[str, list[samples.Made]] | None = None,
     ) -> None:
         self.contents = contents
-        self.stored = stored
         self._route = route
         self._tools = tools
         self._clock = tools.clock
-        self._changed = threading.Condition()
-        self._listed = list(listed)
-        self._finished: list[ItemResult] = []
-        self._finished_since = 0.0
-        self._chunk: _Chunk | None = None
         self._over = threading.Event()
         self._fenced = False
         self._event_tokens = 1.0
-        self._inbox: queue.SimpleQueue[_Ended | _Written | None] = (
+        self._inbox: queue.SimpleQueue[_Ended | Written | None] = (
             queue.SimpleQueue()
         )
-        self._writing = False
         age_s = max(0.0, self._clock.wall() - stored.head["submitted_at"])
         self._submitted_at = self._clock.monotonic() - age_s
         due_s = route.result_due_s + DUE_GRACE_S
         self._due_at = self._submitted_at + due_s
         self._given_up_at = self._submitted_at + route.keep_s
-        self._committed_at = 0.0
-        self._retry_at = 0.0
-        self._saved_at = self._clock.monotonic()
-        self._saved_events = 0
-        self._verified_at = self._clock.monotonic()
         self._moved_at = 0.0
         self._moves_by_place: dict[int, int] = {}
         self._home_by_group: dict[str, str] = {}
-        self._samples = self._unlisted(made_by_name or {})
-        groups = {item.group for item in contents.items}
-        self._wanted_groups = min(
-            contents.wanted_groups or len(groups), len(groups)
+        self._writer = JobWriter(
+            contents,
+            stored,
+            listed,
+            self._due_at,
+            tools.store,
+            tools.writes,
+            self._inbox.put,
+            self._clock,
         )
-        self._groups = len(groups)
-        # Items of each group that are not finished, and not listed.
-        self._left_by_group = Counter(s.item.group for s in self._samples)
-        self._unlisted_by_group = Counter(self._left_by_group)
-        self._group_by_name = {item.name: item.group for item in contents.items}
+        self._samples = self._unlisted(made_by_name or {})
 
     def _unlisted(
         self, made_by_name: dict[str, list[samples.Made]]
     ) -> list[Sample]:
-        names = {result.name for result in self._listed}
+        names = {result.name for result in self._writer.listed}
         rows = []
         for place, item in enumerate(self.contents.items):
             if item.name in names:
@@ -161,6 +125,15 @@
             rows.append(sample)
         return rows
 
+    @property
+    def stored(self) -> StoredHead:
+        """The job's head under which it is held here."""
+        return self._writer.stored
+
+    @stored.setter
+    def stored(self, stored: StoredHead) -> None:
+        self._writer.stored = stored
+
     @property
     def over(self) -> bool:
         """Whether no run of this job is wanted here any more."""
@@ -169,7 +142,7 @@
     @property
     def done(self) -> bool:
         """Whether all results are listed."""
-        return len(self._listed) == len(self.contents.items)
+        return self._writer.done
 
     def results(
         self, after: int, wait_until: float
@@ -179,15 +152,11 @@
         Returns:
             The results, and whether this instance still holds the job.
         """
-        with self._changed:
-            while len(self._listed) <= after and not self.over:
-                left_s = wait_until - self._clock.monotonic()
-                if left_s <= 0:
-                    break
-                self._changed.wait(left_s)
-            # A write without an answer may have listed more than is known.
-            holds = not self.over or (not self._fenced and not self._chunk)
-            return self._listed[after:], holds
+        writer = self._writer
+        rows = writer.results(after, wait_until, self._over.is_set)
+        # A write without an answer may have listed more than is known.
+        holds = not self.over or (not self._fenced and writer.settled)
+        return rows, holds
 
     def run(self) -> None:
         """Controls the job until it is done, ended or fenced."""
@@ -201,7 +170,7 @@
                     self._give_up_rest("its time is over")
                 self._start_samples(now)
                 self._move_stragglers(now)
-                self._write(now)
+                self._writer.write(self._samples, now)
                 if self.done:
                     break
         except FencedError as fenced:
@@ -220,8 +189,7 @@
             run = sample.run
             if run is not None:
                 run.moved.set()
-        with self._changed:
-            self._changed.notify_all()
+        self._writer.wake()
         self._inbox.put(None)
 
     def leave_targets(self, names: Collection[str], until: float) -> None:
@@ -261,7 +229,7 @@
                 "job": self.contents.job,
                 "ended": bool(head and head["ended"]),
                 "holder": head["holder"] if head else "",
-                "listed": len(self._listed),
+                "listed": len(self._writer.listed),
             },
         )
 
@@ -273,25 +241,11 @@
                 if isinstance(row, _Ended):
                     self._take_end(row.run, row.end)
                 else:
-                    self._take_written(row)
+                    self._writer.take(row)
                 row = self._inbox.get_nowait()
         except queue.Empty:
             return
 
-    def _take_written(self, written: _Written) -> None:
-        self._writing = False
-        error = written.error
-        if error is None:
-            written.finish()
-        elif isinstance(error, StoreError):
-            self._retry_at = self._clock.monotonic() + WRITE_RETRY_S
-            _log.info(
-                "Job not written yet.",
-                extra={"job": self.contents.job, "reason": str(error)},
-            )
-        else:
-            raise error
-
     def _take_end(self, run: SampleRun, end: End) -> None:
         sample = run.sample
         sample.run = None
@@ -325,10 +279,7 @@
 
     def _finish_sample(self, sample: Sample, result: ItemResult) -> None:
         sample.finished = True
-        if not self._finished:
-            self._finished_since = self._clock.monotonic()
-        self._finished.append(result)
-        self._left_by_group[sample.item.group] -= 1
+        self._writer.add(result)
 
     def _give_up_rest(self, reason: str) -> None:
         for sample in self._samples:
@@ -481,163 +432,3 @@
                 moves = self._moves_by_place.get(place, 0)
                 self._moves_by_place[place] = moves + 1
                 run.moved.set()
-
-    def _write(self, now: float) -> None:
-        """Starts the call to the store that is due, one at a time."""
-        if self._writing or now < self._retry_at:
-            return
-        if self._chunk is None:
-            self._chunk = self._next_chunk(now)
-        if self._chunk is not None:
-            self._list(self._chunk)
-        elif job_order.save_due(self._new_events(), self._saved_at, now):
-            self._save(now)
-        elif now - self._verified_at >= VERIFY_PERIOD_S:
-            self._verify()
-
-    def _submit(
-        self, call: Callable[[float], T], finish: Callable[[T], None]
-    ) -> None:
-        """Runs a call to the store in a worker thread."""
-        self._writing = True
-        self._tools.writes.submit(self._call, call, finish)
-
-    def _call(
-        self, call: Callable[[float], T], finish: Callable[[T], None]
-    ) -> None:
-        deadline = self._clock.monotonic() + WRITE_TIMEOUT_S
-        try:
-            result = call(deadline)
-        except Exception as error:
-            self._inbox.put(_Written(lambda: None, error))
-        else:
-            self._inbox.put(_Written(lambda: finish(result), None))
-
-    def _list(self, chunk: _Chunk) -> None:
-        def call(deadline: float) -> StoredHead:
-            return self._tools.store.add_results(
-                self.contents.job,
-                self.stored,
-                chunk.first,
-                chunk.results,
-                chunk.done,
-                deadline,
-            )
-
-        def finish(stored: StoredHead) -> None:
-            self.stored = stored
-            self._chunk = None
-            self._committed_at = self._verified_at = self._clock.monotonic()
-            for result in chunk.results:
-                self._unlisted_by_group[self._group_by_name[result.name]] -= 1
-            with self._changed:
-                self._listed += chunk.results
-                self._changed.notify_all()
-            _log.info(
-                "Results listed.",
-                extra={
-                    "job": self.contents.job,
-                    "first": chunk.first,
-                    "results": len(chunk.results),
-                    "revision": stored.revision,
-                },
-            )
-
-        self._submit(call, finish)
-
-    def _save(self, now: float) -> None:
-        made_by_name = self._made_to_save()
-        self._saved_at = now
-        self._saved_events = self._long_events()
-
-        def call(deadline: float) -> None:
-            self._tools.store.save_made(
-                self.contents.job, self.stored, made_by_name, deadline
-            )
-
-        def finish(result: None) -> None:
-            self._verified_at = self._clock.monotonic()
-
-        self._submit(call, finish)
-
-    def _verify(self) -> None:
-        """Finds out whether the job was ended or taken over elsewhere."""
-        revision = self.stored.revision
-
-        def call(deadline: float) -> StoredHead | None:
-            return self._tools.store.head(self.contents.job, deadline)
-
-        def finish(current: StoredHead | None) -> None:
-            self._verified_at = self._clock.monotonic()
-            if current is None or current.revision != revision:
-                raise FencedError(current)
-
-        self._submit(call, finish)
-
-    def _unlisted_samples(self) -> list[Sample]:
-        listed = {result.name for result in self._listed}
-        return [s for s in self._samples if s.item.name not in listed]
-
-    def _long_events(self) -> int:
-        return sum(
-            len(sample.made)
-            for sample in self._samples
-            if len(sample.made) >= SAVED_EVENTS
-        )
-
-    def _new_events(self) -> int:
-        return self._long_events() - self._saved_events
-
-    def _made_to_save(self) -> dict[str, list[samples.Made]]:
-        """Returns the events of the longest samples that are not listed."""
-        rows = sorted(
-            self._unlisted_samples(), key=lambda sample: -len(sample.made)
-        )
-        made_by_name: dict[str, list[samples.Made]] = {}
-        size = 0
-        for sample in rows:
-            made = list(sample.made)
-            size += sum(len(event.data) for event in made)
-            if len(made) < SAVED_EVENTS or size > SAVED_BYTES:
-                break
-            made_by_name[sample.item.name] = made
-        return made_by_name
-
-    def _next_chunk(self, now: float) -> _Chunk | None:
-        finished = self._finished
-        last = all(sample.finished for sample in self._samples)
-        groups = {self._group_by_name[result.name] for result in finished}
-        listed = self._groups - sum(
-            left > 0 for left in self._unlisted_by_group.values()
-        )
-        complete = self._groups - sum(
-            left > 0 for left in self._left_by_group.values()
-        )
-        waiting = job_order.Waiting(
-            results=len(finished),
-            size=sum(len(result.text) for result in finished),
-            since=self._finished_since,
-            ends_group=any(not self._left_by_group[g] for g in groups),
-            ends_step=listed < self._wanted_groups <= complete,
-            step_ended=listed >= self._wanted_groups,
-            last=last,
-        )
-        if not job_order.commit_due(
-            waiting, self._committed_at, self._due_at, now
-        ):
-            return None
-        results, rest = self._split(finished)
-        self._finished = rest
-        self._finished_since = now
-        return _Chunk(len(self._listed), results, last and not rest)
-
-    def _split(
-        self, finished: list[ItemResult]
-    ) -> tuple[tuple[ItemResult, ...], list[ItemResult]]:
-        """Splits off as many results as one write may have."""
-        size = 0
-        for count, result in enumerate(finished):
-            size += len(result.text)
-            if size > job_order.COMMIT_BYTES and count:
-                return tuple(finished[:count]), finished[count:]
-        return tuple(finished), []
