--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -354,10 +354,10 @@
 ) -> list[str]:
     need = weight_orders.ModelNeed("m", wanted, 10.0 - ago)
     names = {engine.name for engine in engines} & set(loading.split())
-    model_by_loading = dict.fromkeys(names, "m")
+    loading_by_engine = dict.fromkeys(names, "m")
     room = weight_orders.loads_at_once(len(engines)) - len(names)
     return weight_orders.next_engines(
-        need, engines, model_by_loading, room, 10.0
+        need, engines, loading_by_engine, room, 10.0
     )
 
 
--- a/hibiscuspin/decisions/weight_orders.py
+++ b/hibiscuspin/decisions/weight_orders.py
@@ -128,7 +128,7 @@
             name = left.pop(costs.index(min(costs)))
             taken[name] += 1
             chosen[model].append(name)
-    return chosen
+    return {model: sorted(names) for model, names in chosen.items()}
 
 
 def turns(
@@ -153,7 +153,7 @@
 def next_engines(
     need: ModelNeed,
     engines: Sequence[EngineView],
-    model_by_loading: Mapping[str, str],
+    loading_by_engine: Mapping[str, str],
     room: int,
     now: float,
 ) -> list[str]:
@@ -162,24 +162,24 @@
     Args:
         need: What the model needs.
         engines: Those that are assigned to it.
-        model_by_loading: The engines that load already, and what.
+        loading_by_engine: What engines load already, whichever model.
         room: How many more may load at once, whichever model.
         now: The monotonic time.
     """
     wanted = need.wanted
     count = sum(
-        model_by_loading.get(engine.name) == need.model for engine in engines
+        loading_by_engine.get(engine.name) == need.model for engine in engines
     )
     room = min(room, loads_at_once(len(engines)) - count)
     free = sum(
         max(0, engine.slots - engine.busy)
         for engine in engines
-        if engine.version >= wanted - 1 and engine.name not in model_by_loading
+        if engine.version >= wanted - 1 and engine.name not in loading_by_engine
     )
     lagging = [
         engine
         for engine in engines
-        if engine.version < wanted and engine.name not in model_by_loading
+        if engine.version < wanted and engine.name not in loading_by_engine
     ]
     lagging.sort(key=lambda engine: (engine.version, engine.busy, engine.name))
     chosen: list[str] = []
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -74,7 +74,7 @@
         self._wanted_by_model = wanted_by_model
         self._finish_first = finish_first
         self._clock = clock
-        self._model_by_loading: dict[str, str] = {}
+        self._loading_by_engine: dict[str, str] = {}
         self._assign_inputs: _AssignInputs | None = None
         self._engines_by_model: dict[str, list[str]] = {}
         # The newest version of each model, and when it was heard of.
@@ -123,12 +123,12 @@
             names = weight_orders.next_engines(
                 ModelNeed(model, wanted, named_at),
                 views_by_model[model],
-                dict(self._model_by_loading),
-                at_once - len(self._model_by_loading),
+                dict(self._loading_by_engine),
+                at_once - len(self._loading_by_engine),
                 self._clock.monotonic(),
             )
             if names:
-                self._model_by_loading.update(dict.fromkeys(names, model))
+                self._loading_by_engine.update(dict.fromkeys(names, model))
                 self._loads.submit(
                     self._clear_and_load, names, model, wanted, term, stop
                 )
@@ -198,7 +198,7 @@
             _log.exception("Load failed.")
         finally:
             self._exchange.release(name, model, version)
-            self._model_by_loading.pop(name, None)
+            self._loading_by_engine.pop(name, None)
 
     def _order(
         self, target: Target, model: str, wanted: int, term: Term
