Let holders that start again take their own jobs back

Change: a holder that the coordinator has not seen in the job's term is given a second; one that it has seen and that is gone is replaced at once as before.

--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -174,3 +174,21 @@
     And b reads results and bodies of the job 2 times
     And c ends the job
     Then b finds no body of the job
+
+  Scenario: instances that start together keep their own jobs
+    When a accepts a job of 2 groups of 4 samples with 200 events
+    And a is lost, and no instance has seen it before
+    And the coordinator at b sweeps
+    Then no instance holds the job
+    When a starts again and takes its jobs back
+    And the coordinator at b sweeps
+    Then only a holds the job
+    And all results of the job are listed with whole texts of version 1
+
+  Scenario: a job whose unseen holder does not come back goes to another
+    When a accepts a job of 2 groups of 4 samples with 200 events
+    And a is lost, and no instance has seen it before
+    And the coordinator at b sweeps
+    And 1.05 s pass
+    And the coordinator at b sweeps
+    Then all results of the job are listed with whole texts of version 1
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -42,6 +42,7 @@
 @given("instances a, b and c before {count:d} engines of {slots:d} places")
 def start_fleet(context: Any, count: int, slots: int) -> None:
     context.memory = MemoryFleet(count, slots)
+    context.recoveries = {}
     context.add_cleanup(context.memory.close)
     for name in "abc":
         context.memory.start(name)
@@ -402,14 +403,37 @@
     clock = memory.clock
     store: Any = memory.views[name]
     instances: Any = memory.instances_by_name[name]
-    recovery = JobRecovery(
-        instances,
-        memory.jobs_by_name[name],
-        JobStore(store, clock),
-        clock,
-        120.0,
-    )
-    recovery.sweep()
+    if name not in context.recoveries:
+        context.recoveries[name] = JobRecovery(
+            instances,
+            memory.jobs_by_name[name],
+            JobStore(store, clock),
+            clock,
+            120.0,
+        )
+    context.recoveries[name].sweep()
+
+
+@when("a is lost, and no instance has seen it before")
+def lose_unseen(context: Any) -> None:
+    context.memory.lose("a")
+
+
+@when("a starts again and takes its jobs back")
+def restart(context: Any) -> None:
+    memory = context.memory
+    memory.start("a", "2").resume_own()
+
+
+@when("{seconds:g} s pass")
+def pass_time(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+
+
+@then("no instance holds the job")
+def check_unheld(context: Any) -> None:
+    for jobs in context.memory.jobs_by_name.values():
+        assert JOB not in jobs._job_by_id
 
 
 @when("b reads results and bodies of the job {times:d} times")
--- a/hibiscuspin/decisions/recovery.py
+++ b/hibiscuspin/decisions/recovery.py
@@ -3,6 +3,10 @@
 Load pattern: an instance is killed, loses power or is cut off in the middle
 of a step. While the store was out all leases may have ended at once, so that
 a missing registration alone says little: the holder is asked as well.
+
+Load pattern: all instances are killed and start again together. The first
+that is registered has the coordinator's duty and knows no other; holders take
+their own jobs back a moment later.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -10,7 +14,18 @@
 
 from hibiscuspin import rendezvous
 
-__all__ = ["HeldJob", "Member", "expired", "orphans", "successor"]
+__all__ = [
+    "HeldJob",
+    "Member",
+    "expired",
+    "may_return",
+    "orphans",
+    "successor",
+]
+
+# Instances that were killed together start within half a second of each
+# other, and then take their own jobs back.
+RETURN_S = 1.0
 
 
 class Member(NamedTuple):
@@ -55,6 +70,23 @@
     ]
 
 
+def may_return(
+    orphan: HeldJob, last_known: Member | None, orphan_since: float, now: float
+) -> bool:
+    """Tells whether an orphan's holder may still take it back itself.
+
+    Args:
+        orphan: The job.
+        last_known: The holder as it was registered last, as far as this
+            instance has seen; one that was seen in the job's term and has
+            gone is not waited for.
+        orphan_since: When the job was first found without its holder.
+        now: The monotonic time.
+    """
+    seen = last_known is not None and last_known.term == orphan.term
+    return not seen and now < orphan_since + RETURN_S
+
+
 def successor(
     job: str,
     members_by_name: Mapping[str, Member],
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -57,6 +57,7 @@
         self._keep_s = keep_s + KEEP_MARGIN_S
         self._first_start = first_start
         self._sweep_at = 0.0
+        self._orphan_since_by_job: dict[str, float] = {}
         self._seen: frozenset[tuple[str, str]] = frozenset()
 
     def run(self, stop: threading.Event) -> None:
@@ -104,9 +105,18 @@
         for job in held:
             if job.open:
                 counts[job.holder] = counts.get(job.holder, 0) + 1
-        for orphan in recovery.orphans(held, members):
-            self._hand(orphan, members, counts)
+        orphans = recovery.orphans(held, members)
+        since_by_job = {
+            orphan.job: self._orphan_since_by_job.get(orphan.job, now)
+            for orphan in orphans
+        }
+        self._orphan_since_by_job = since_by_job
+        for orphan in orphans:
             self._sweep_at = now + RETRY_S
+            holder = self._instances.last_known(orphan.holder)
+            since = since_by_job[orphan.job]
+            if not recovery.may_return(orphan, holder, since, now):
+                self._hand(orphan, members, counts)
         wall = self._clock.wall()
         for job in recovery.expired(held, self._keep_s, wall):
             self._store.delete(job.job, now + SCAN_TIMEOUT_S)
