--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -27,6 +27,8 @@
 GRACE_S = 8
 CALL_S = 10.0
 START_S = 20.0
+# What a failure to start shows of an instance's log.
+LOG_BYTES = 4000
 DATA_CENTRES = ("cba-a", "cba-b")
 
 
@@ -261,13 +263,21 @@
         }
 
     def wait_ready(self) -> None:
-        """Waits until all instances are ready."""
+        """Waits until all instances are ready.
+
+        Raises:
+            TimeoutError: One is not; the end of its log says why.
+        """
         for instance in self.instance_by_name.values():
-            wait_for(
-                lambda instance=instance: self.is_ready(instance),  # type: ignore[misc]
-                START_S,
-                f"{instance.name} being ready",
-            )
+            try:
+                wait_for(
+                    lambda instance=instance: self.is_ready(instance),  # type: ignore[misc]
+                    START_S,
+                    f"{instance.name} being ready",
+                )
+            except TimeoutError as error:
+                log = instance.process.log_path.read_text()
+                raise TimeoutError(f"{error}\n{log[-LOG_BYTES:]}") from error
 
     def wait_registered(self) -> None:
         """Waits until the store lists all targets, and instances know them."""
