Return a response with an empty body at once

Cause: reading the body of a response with "Content-Length: 0" over a kept connection waited for bytes that never come, until the deadline.

Change: the client does not wait before it reads an empty body. The scenario on responses of known length has a case that failed before.

--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -25,12 +25,17 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n |
       | HTTP/1.1 200 OK\r\n\r\nabc                                            |
 
-  Scenario: an answer of known length ends at its length and its connection is used again
-    Given a raw server that answers "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc" and stays
+  Scenario Outline: an answer of known length ends at its length and its connection is used again
+    Given a raw server that answers "<answer>" and stays
     When the client asks it 3 times with a check
     Then each call took less than 0.5 s
     And the raw server saw 1 connection
 
+    Examples:
+      | answer                                              |
+      | HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc       |
+      | HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n      |
+
   Scenario: a connection that the other end will close is not used again
     Given a raw server that answers "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 3\r\n\r\nabc" and stays
     When the client asks it 2 times, 0.9 s apart
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -155,7 +155,8 @@
         size = 0
         try:
             while not self._response.isclosed() and size < MAX_RESPONSE_BYTES:
-                if wait is not None:
+                # Nothing follows the headers of a response with an empty body.
+                if wait is not None and self._response.length != 0:
                     self._client.wait(
                         self._connection,
                         self._response,
