Never reject a call as not run that may have run

Cause: a repeatable call whose first attempt failed after it was sent, and which then found no free slot in time, was rejected with a status that promises that it did not run.

Change: the decision gives such a call up as a failure instead. The table of next steps has the case; it gave REJECT before.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -31,6 +31,7 @@
       | repeatable | 0       | 1   | 3    | 0.5   | START   |
       | repeatable | 0       | 0   | 0    | 0.1   | WAIT    |
       | repeatable | 0       | 0   | 0    | 0.97  | REJECT  |
+      | repeatable | 0       | 1   | 0    | 0.97  | GIVE_UP |
       | once       | 1       | 1   | 3    | 0.5   | WAIT    |
       | once       | 0       | 1   | 3    | 0.5   | GIVE_UP |
       | once       | 0       | 0   | 3    | 0.5   | START   |
--- a/hibiscuspin/decisions/attempts.py
+++ b/hibiscuspin/decisions/attempts.py
@@ -86,8 +86,12 @@
     if exhausted or now + MIN_ATTEMPT_S >= progress.deadline:
         return Action(ActionKind.GIVE_UP)
     decision = queueing.decide(load, now, progress.deadline)
-    if decision.action is queueing.QueueAction.START:
-        return Action(ActionKind.START)
+    if decision.action is queueing.QueueAction.REJECT:
+        # A rejection states that the call did not run.
+        kind = (
+            ActionKind.GIVE_UP if progress.may_have_run else ActionKind.REJECT
+        )
+        return Action(kind, now, decision.retry_after_s)
     if decision.action is queueing.QueueAction.WAIT:
         return Action(ActionKind.WAIT, now + queueing.POLL_PERIOD_S)
-    return Action(ActionKind.REJECT, now, decision.retry_after_s)
+    return Action(ActionKind.START)
