Follow a sample and the call that scores it in traces

Cause: the line on a reward call's outcome names the sample and the call, but other lines name only one of them, so a trace of either showed half.

Change: trace collects the lines on both ids, in both directions.

--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -19,6 +19,10 @@
 SECOND_LOG = """\
 {"asctime": "2026-01-01 00:00:03", "message": "third", "job": "r1"}
 {"asctime": "2026-01-01 00:00:01", "message": "first", "request_id": "r1"}
+{"asctime": "2026-01-01 00:00:06", "message": "scored", "request_id": "i7", \
+"score_id": "c7", "targets": ["t8"]}
+{"asctime": "2026-01-01 00:00:07", "message": "called", "request_id": "c7"}
+{"asctime": "2026-01-01 00:00:05", "message": "made", "request_id": "i7"}
 """
 
 
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -10,6 +10,16 @@
     When an operator traces "t9"
     Then lines "second" are shown in this order
 
+  Scenario Outline: a sample and the call that scored it are shown together
+    Given log files of two instances
+    When an operator traces "<id>"
+    Then lines "made scored called" are shown in this order
+
+    Examples:
+      | id |
+      | i7 |
+      | c7 |
+
   Scenario: an id that only begins another is not found
     Given log files of two instances
     When an operator traces "r"
--- a/hibiscuspin/commands/trace.py
+++ b/hibiscuspin/commands/trace.py
@@ -1,7 +1,7 @@
 """The command that collects the log lines about one id."""
 
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any, NamedTuple
 
 import msgspec
@@ -12,6 +12,8 @@
 
 # Fields that every line has; their values are printed first.
 _LEADING_FIELDS = ("asctime", "instance", "message")
+# A line with both names a sample and the call that scores it.
+_LINKED_FIELDS = ("request_id", "score_id")
 _OMITTED_FIELDS = frozenset({*_LEADING_FIELDS, "levelname"})
 
 
@@ -57,22 +59,42 @@
 ) -> list[dict[str, Any]]:
     """Returns the fields of all lines that mention an id, by time.
 
+    An item and the call that scores it are followed in both directions.
     Ignores lines without JSON, and text before the JSON of a line, such as
     log collectors add.
     """
+    lines = list(lines)
+    found = _find_lines({identifier}, lines)
+    identifiers = {identifier}.union(
+        *(_linked_ids(line.fields, identifier) for line in found)
+    )
+    if len(identifiers) > 1:
+        found = _find_lines(identifiers, lines)
+    return [line.fields for line in sorted(found, key=lambda row: row[:2])]
+
+
+def _find_lines(identifiers: set[str], lines: Sequence[str]) -> list[_Line]:
     found = []
     for line_index, line in enumerate(lines):
-        if identifier not in line:
+        if not any(identifier in line for identifier in identifiers):
             continue
         start = line.find("{")
         try:
             fields = msgspec.json.decode(line[start:]) if start >= 0 else None
         except msgspec.DecodeError:
             continue
-        if isinstance(fields, dict) and _mentions(fields, identifier):
+        if isinstance(fields, dict) and any(
+            _mentions(fields, identifier) for identifier in identifiers
+        ):
             timestamp = str(fields.get("asctime", ""))
             found.append(_Line(timestamp, line_index, fields))
-    return [line.fields for line in sorted(found, key=lambda row: row[:2])]
+    return found
+
+
+def _linked_ids(fields: dict[str, Any], identifier: str) -> set[str]:
+    """Returns the ids of a sample and its reward call if one is given."""
+    ids = {str(fields.get(name, "")) for name in _LINKED_FIELDS}
+    return ids if identifier in ids and "" not in ids else set()
 
 
 def _mentions(fields: dict[str, Any], identifier: str) -> bool:
