--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -106,6 +106,36 @@
       | body    | bad_field |
       | id      | bad_field |
 
+  Scenario: the reward call of an item is decoded and its score is encoded
+    Given the platform's batch job
+    And its first item has a scorer
+    When the job is decoded
+    Then its reward call goes to host "h2" and path "/pufi791/5e07" with id "40c8"
+    And the score of a result is encoded as it was received
+
+  Scenario Outline: a bad scorer is refused with its item and field
+    Given the platform's batch job
+    And its first item has a scorer whose <field> is <value>
+    When the job is decoded
+    Then it is bad with "bad_field"
+    And the error names the item and "<named>"
+
+    Examples:
+      | field | value   | named                    |
+      | all   | "x"     | scorer must be an object |
+      | id    | ""      | id must be               |
+      | id    | 5       | id must be               |
+      | host  | null    | host must be             |
+      | path  | ""      | path must be             |
+      | body  | "%"     | body must be base64      |
+      | body  | 7       | body must be base64      |
+
+  Scenario: two items with one reward call are refused
+    Given the platform's batch job
+    And its items have a scorer with the same id
+    When the job is decoded
+    Then it is bad with "bad_field"
+
   Scenario: no name of the platform stands outside its folder
     Then only the adapter and its tests know the platform's names
     And only the adapter's own modules import it
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -1,6 +1,7 @@
 """In-memory store, targets and peers that can be made to fail."""
 
 import itertools
+import random
 import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -9,7 +10,13 @@
 
 from hibiscuspin.clock import SystemClock
 from hibiscuspin.decisions.recovery import LiveInstance
-from hibiscuspin.decisions.routes import CallKind, ForwardRoute
+from hibiscuspin.decisions.routes import (
+    CallKind,
+    ClientLimits,
+    ForwardRoute,
+    RouteTable,
+    sorted_routes,
+)
 from hibiscuspin.edges import StoreError, TargetError, WaitLimits
 from hibiscuspin.edges.discovery import (
     OrderOutcome,
@@ -30,16 +37,28 @@
     Transaction,
     WatchResult,
 )
+from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerUnreachableError
 from hibiscuspin.settings import Address
 from hibiscuspin.tasks.discovered import DiscoveredTargets
-from hibiscuspin.tasks.job_store import JobContents, JobItem, JobStore
+from hibiscuspin.tasks.forwarding import Forwarder
+from hibiscuspin.tasks.job_store import (
+    JobContents,
+    JobItem,
+    JobStore,
+    RewardRequest,
+)
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.local_job import JobDependencies
+from hibiscuspin.tasks.reward_calls import RewardCaller
+from hibiscuspin.tasks.route_table import Routes
+from hibiscuspin.tasks.scoring import Scoring
 from hibiscuspin.tasks.target_exchange import TargetExchange
 
 EVENT_S = 0.004
 SERVICE = "llm"
+SCORING_SERVICE = "app"
+REWARD_PATH = "/rewards/x"
 MODEL = "m"
 
 
@@ -193,6 +212,9 @@
             `silent`, `break` (after `break_at` events of a run), or an empty
             string for no fault.
         runs: For each request id, the event after which each run started.
+        sent_at: For each request id, when each call to `send` arrived.
+        stamps: For each request id, the stamps of its successful responses.
+        ended_at: For each request id, when its last event was generated.
         running_count: Runs in flight.
     """
 
@@ -203,6 +225,9 @@
         self.fault = ""
         self.break_at = 3
         self.runs: dict[str, list[int]] = {}
+        self.sent_at: dict[str, list[float]] = {}
+        self.stamps: dict[str, list[str]] = {}
+        self.ended_at: dict[str, float] = {}
         self.running_count = 0
         self.orders: list[WeightOrder] = []
 
@@ -216,6 +241,8 @@
     ) -> ProxiedResponse:
         """Responds with its name, after the time of one event."""
         self.runs.setdefault(request.request_id, []).append(0)
+        arrived_at = SystemClock().monotonic()
+        self.sent_at.setdefault(request.request_id, []).append(arrived_at)
         self._raise_fault()
         ends_at = min(deadline, SystemClock().monotonic() + self.event_s)
         if self.fault == "silent":
@@ -226,7 +253,12 @@
         if self.fault == "silent":
             raise TargetError("no response", sent=True, silent=True)
         status = int(self.fault) if self.fault else 200
-        return ProxiedResponse(status, [("X-Name", self.name)], b"answer")
+        stamps = self.stamps.setdefault(request.request_id, [])
+        stamp = f"{self.name}-{request.request_id}-{len(stamps)}"
+        if status == 200:
+            stamps.append(stamp)
+        headers = [("X-Name", self.name)]
+        return ProxiedResponse(status, headers, b"answer", stamp)
 
     def _raise_fault(self) -> None:
         if self.fault == "full":
@@ -294,6 +326,7 @@
             events.append(
                 ServerSentEvent(raw, self._next_number, data, target.version)
             )
+            target.ended_at[self._request_id] = self._next_at
             self._next_number += 1
             self._generated_count += 1
             self._next_at += target.event_s
@@ -372,11 +405,30 @@
     keep_s=40.0,
 )
 
+REWARD_ROUTE = ForwardRoute(
+    name="rewards",
+    host="h",
+    prefix="/rewards/",
+    kind=CallKind.REPEATABLE,
+    weight_by_service={SCORING_SERVICE: 1.0},
+    timeout_s=0.5,
+    objective_s=0.2,
+    max_attempts=4,
+)
+
+
+def reward_table(version: int, *routes: ForwardRoute) -> RouteTable:
+    """Returns a configuration with these routes."""
+    limits = ClientLimits(16384, 1 << 20, 3.0, 15.0)
+    return RouteTable(version, sorted_routes(routes), limits, {})
+
 
 class MemoryFleet:
     """Instances that share targets and one store."""
 
-    def __init__(self, targets: int = 2, slots: int = 8) -> None:
+    def __init__(
+        self, targets: int = 2, slots: int = 8, scorers: int = 0
+    ) -> None:
         self.clock = SystemClock()
         self.store = MemoryStore()
         self.peers = MemoryPeers()
@@ -387,6 +439,14 @@
             f"t{number}": MemoryTarget(f"t{number}")
             for number in range(targets)
         }
+        self.scorer_by_name = {
+            f"s{number}": MemoryTarget(f"s{number}")
+            for number in range(scorers)
+        }
+        self.routes = Routes(random.Random(1))
+        self.routes.activate(reward_table(1, REWARD_ROUTE))
+        self.scoring_queues: list[Scoring] = []
+        self.stop = threading.Event()
         self.slots = slots
         self.jobs_by_name: dict[str, Jobs] = {}
         self.exchange_by_name: dict[str, TargetExchange] = {}
@@ -409,6 +469,18 @@
                 {MODEL: target.version},
             )
             for number, (name, target) in enumerate(self.target_by_name.items())
+        ] + [
+            TargetRecord(
+                name,
+                1,
+                SCORING_SERVICE,
+                Address("127.0.0.1", 1000 + number),
+                "dc",
+                self.slots,
+                False,
+                {},
+            )
+            for number, name in enumerate(self.scorer_by_name)
         ]
 
     def start(self, name: str, term: str = "1") -> Jobs:
@@ -419,7 +491,9 @@
             "dc",
             {"dc": "r"},
             self.clock,
-            lambda record: self.target_by_name[record.name],
+            lambda record: {**self.target_by_name, **self.scorer_by_name}[
+                record.name
+            ],
         )
         targets.replace(self.records(), 0.0)
         connection = StoreConnection(self.store)
@@ -432,9 +506,16 @@
             ThreadPoolExecutor(4),
         )
         self.executors += [run_executor, store_executor]
+        forwarder = Forwarder(targets, self.clock)
+        rewards = RewardCaller(self.routes, forwarder, self.clock)
+        scoring = Scoring(self.clock, rewards.startable_calls, Metrics())
+        self.scoring_queues.append(scoring)
+        run_executor.submit(scoring.run, self.stop)
         dependencies = JobDependencies(
             JobStore(store, self.clock),
             targets,
+            rewards,
+            scoring,
             run_executor,
             store_executor,
             self._route_of,
@@ -478,6 +559,9 @@
         """Stops all jobs and their threads."""
         for jobs in self.jobs_by_name.values():
             jobs.stop()
+        self.stop.set()
+        for scoring in self.scoring_queues:
+            scoring.interrupt()
         for executor in self.executors:
             executor.shutdown(cancel_futures=True)
 
@@ -488,6 +572,7 @@
     group_size: int,
     events: int,
     oldest_version: int = 1,
+    scored: bool = False,
 ) -> JobContents:
     """Returns a job whose items generate `events` events each."""
     items = [
@@ -498,6 +583,11 @@
             str(events).encode(),
             f"g{group}",
             float(events),
+            RewardRequest(
+                f"r-{job_id}-g{group}-{item}", "h", REWARD_PATH, b"body"
+            )
+            if scored
+            else None,
         )
         for group in range(groups)
         for item in range(group_size)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -22,7 +22,7 @@
 from hibiscuspin.platform import batches, engines, operators
 from hibiscuspin.platform.settings import read_settings_file
 from hibiscuspin.settings import SettingsError
-from hibiscuspin.tasks.job_store import ItemResult
+from hibiscuspin.tasks.job_store import ItemResult, RewardRequest
 from hibiscuspin.tasks.jobs import JobResults
 from hibiscuspin.tasks.route_table import Routes
 
@@ -346,6 +346,57 @@
         context.job_id = "a/../b"
 
 
+SCORER = {
+    "id": "40c8",
+    "host": "h2",
+    "path": "/pufi791/5e07",
+    "body": "3q2+7w==",
+}
+
+
+@given("its first item has a scorer")
+def set_scorer(context: Any) -> None:
+    context.raw_job["items"][0]["scorer"] = dict(SCORER)
+
+
+@given("its first item has a scorer whose {field} is {value}")
+def set_bad_scorer(context: Any, field: str, value: str) -> None:
+    decoded = msgspec.json.decode(value)
+    item = context.raw_job["items"][0]
+    item["scorer"] = decoded if field == "all" else {**SCORER, field: decoded}
+
+
+@given("its items have a scorer with the same id")
+def set_same_scorers(context: Any) -> None:
+    items = context.raw_job["items"]
+    items.append({**items[0], "id": "e5b3"})
+    for item in items:
+        item["scorer"] = dict(SCORER)
+
+
+@then(
+    'its reward call goes to host "{host}" and path "{path}" with id "{name}"'
+)
+def check_reward(context: Any, host: str, path: str, name: str) -> None:
+    reward = context.decoded_job.items[0].reward
+    assert reward == RewardRequest(name, host, path, b"\xde\xad\xbe\xef")
+
+
+@then("the score of a result is encoded as it was received")
+def check_score(context: Any) -> None:
+    row = ItemResult("e5b2", True, "a", (6,), "3e1b.07.5a2.600.0.c9f2a4d1")
+    body = batches.encode_results(JobResults(1, [row]), 0)
+    result = msgspec.json.decode(body)["results"][0]
+    assert result["score"] == row.score, result
+
+
+@then('the error names the item and "{text}"')
+def check_error_text(context: Any, text: str) -> None:
+    detail = context.decode_error.detail
+    item = context.raw_job["items"][0]["id"]
+    assert item in detail and text in detail, detail
+
+
 @when("the job is decoded")
 def decode_job(context: Any) -> None:
     body = context.job_body or msgspec.json.encode(context.raw_job)
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -220,6 +220,7 @@
     for target, name, value in (
         (job_order, "SAVE_PERIOD_S", 0.05),
         (job_order, "MIN_SAVE_EVENTS", 1),
+        (job_order, "MAX_UNSAVED_TEXT_S", 0.0),
         (job_writer, "MIN_SAVED_EVENTS", 1),
     ):
         patch = mock.patch.object(target, name, value)
--- a/features/steps/rollouts_engines_steps.py
+++ b/features/steps/rollouts_engines_steps.py
@@ -1,5 +1,6 @@
 """Steps that run one rollout against scripted engines and scorers."""
 
+import math
 import threading
 from collections.abc import Iterator, Sequence
 from contextlib import nullcontext
@@ -8,17 +9,22 @@
 from behave import given, then, when
 
 from hibiscuspin.clock import SystemClock
+from hibiscuspin.decisions.scoring import RetryLimits
 from hibiscuspin.decisions.staleness import version_spans
 from hibiscuspin.edges import (
     GenerateRequest,
+    ScoringError,
     TargetError,
     TokenChunk,
     WaitLimits,
     WeightState,
 )
+from hibiscuspin.edges.scorer import startable_calls
+from hibiscuspin.metrics import Metrics
 from hibiscuspin.tasks.attempts import AttemptLog
+from hibiscuspin.tasks.dispatcher import MAX_SCORING_FAILURES
 from hibiscuspin.tasks.rollout import Rollout
-from hibiscuspin.tasks.scoring import Scoring
+from hibiscuspin.tasks.scoring import Scoring, ScoringRequest
 
 TOKENS = 4
 
@@ -138,16 +144,17 @@
     """A scorer whose first `failures` attempts fail."""
 
     def __init__(self, failures: int) -> None:
+        self.request_id = "r"
+        self.service = "a"
+        self.targets: Sequence[str] = ()
         self.failures = failures
         self.attempts = 0
 
-    def score(
-        self, request_id: str, prompt: str, text: str, deadline: float
-    ) -> float:
+    def score(self, deadline: float) -> float:
         """Returns 0.5, or fails."""
         self.attempts += 1
         if self.attempts <= self.failures:
-            raise TargetError("scorer failed", sent=True)
+            raise ScoringError("scorer failed")
         return 0.5
 
 
@@ -165,9 +172,25 @@
         rewards.append(value)
         scored.set()
 
-    scoring = Scoring(SystemClock(), lambda _: context.scorer)
-    scoring.score("a", "r", "p", "t", record_reward)
+    scoring = Scoring(SystemClock(), startable_calls, Metrics())
+    stop = threading.Event()
+    thread = threading.Thread(target=scoring.run, args=(stop,))
+    thread.start()
+    limits = RetryLimits(max_failures=MAX_SCORING_FAILURES)
+    request = ScoringRequest[float](
+        "r",
+        context.scorer,
+        limits,
+        math.inf,
+        math.inf,
+        lambda: 1,
+        lambda: False,
+        record_reward,
+    )
+    assert scoring.offer(request)
     assert scored.wait(10)
-    scoring.stop()
+    stop.set()
+    scoring.interrupt()
+    thread.join()
     assert rewards == [reward], rewards
     assert context.scorer.attempts == tries, context.scorer.attempts
--- a/hibiscuspin/daemon.py
+++ b/hibiscuspin/daemon.py
@@ -18,6 +18,7 @@
 from hibiscuspin.edges.consul import ConsulStore
 from hibiscuspin.edges.instances import HttpInstanceList
 from hibiscuspin.edges.operations import OperationsInterface
+from hibiscuspin.edges.scorer import startable_calls
 from hibiscuspin.edges.shared_admin import PeerInterface
 from hibiscuspin.edges.trainers import TrainerInterface
 from hibiscuspin.edges.wsgi import Route, WsgiApp
@@ -149,7 +150,7 @@
             self._duties.is_valid,
             self._clock,
         )
-        self._scoring = Scoring(self._clock)
+        self._scoring = Scoring(self._clock, startable_calls, self._metrics)
         self._measures = Measures(
             settings.instance,
             self._attempts,
@@ -232,7 +233,6 @@
             time.sleep(DRAIN_POLL_INTERVAL_S)
         self._supervisor.stop()
         self._rollout_executor.shutdown()
-        self._scoring.stop()
         self._order_executor.shutdown()
         _log.info("Instance stopped.")
 
@@ -321,6 +321,7 @@
                 self._hub,
                 self._clock,
             ),
+            self._scoring,
             dispatcher,
             self._spend,
             *claims.tasks(),
--- a/hibiscuspin/decisions/job_order.py
+++ b/hibiscuspin/decisions/job_order.py
@@ -43,6 +43,9 @@
 # events that are lost if a holder fails.
 SAVE_PERIOD_S = 0.7
 MIN_SAVE_EVENTS = 60
+# Most samples are scored and published sooner than this. A complete text that
+# waits longer, as while its scoring service is down, is saved by itself.
+MAX_UNSAVED_TEXT_S = 1.0
 
 
 class SampleSize(NamedTuple):
@@ -165,12 +168,19 @@
     return unpublished.completes_group and now - published_at >= period_s
 
 
-def save_due(new_events: int, saved_at: float, now: float) -> bool:
+def save_due(
+    new_events: int, oldest_text_at: float, saved_at: float, now: float
+) -> bool:
     """Tells whether to save unfinished samples for a possible new holder.
 
     Args:
-        new_events: Number of events of long samples since the last save.
+        new_events: Number of events and scores since the last save.
+        oldest_text_at: When the oldest unsaved text that waits for its score
+            was completed; infinity if there is none.
         saved_at: When samples were last saved.
         now: The monotonic time.
     """
-    return new_events >= MIN_SAVE_EVENTS and now - saved_at >= SAVE_PERIOD_S
+    if now - saved_at < SAVE_PERIOD_S:
+        return False
+    overdue = now - oldest_text_at >= MAX_UNSAVED_TEXT_S
+    return overdue or new_events >= MIN_SAVE_EVENTS
--- a/hibiscuspin/edges/__init__.py
+++ b/hibiscuspin/edges/__init__.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, TypeVar
 
 __all__ = [
     "TokenChunk",
@@ -21,6 +21,7 @@
     "PlainService",
     "RequestState",
     "Scorer",
+    "ScoringError",
     "ServiceResponse",
     "ServiceRequest",
     "StoreError",
@@ -368,13 +369,45 @@
         """
 
 
-class Scorer(Protocol):
-    """A scoring service."""
+class ScoringError(Exception):
+    """A sample was not scored.
 
-    def score(
-        self, request_id: str, prompt: str, text: str, deadline: float
-    ) -> float:
-        """Returns the reward of one sample."""
+    Attributes:
+        server_errors: How many responses were a target's own server error.
+        retry_after_s: The earliest retry that the service suggests; 0 for
+            none.
+    """
+
+    def __init__(
+        self, message: str, server_errors: int = 0, retry_after_s: float = 0.0
+    ) -> None:
+        super().__init__(message)
+        self.server_errors = server_errors
+        self.retry_after_s = retry_after_s
+
+
+ScoreT_co = TypeVar("ScoreT_co", covariant=True)
+
+
+class Scorer(Protocol[ScoreT_co]):
+    """Scores one complete sample.
+
+    Attributes:
+        request_id: The id of its requests.
+        service: The service that scores the sample.
+        targets: The targets that received the last request.
+    """
+
+    request_id: str
+    service: str
+    targets: Sequence[str]
+
+    def score(self, deadline: float) -> ScoreT_co:
+        """Returns the sample's score.
+
+        Raises:
+            ScoringError: No score was received.
+        """
 
 
 Headers = Mapping[str, str]
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -67,11 +67,19 @@
 
 
 class ProxiedResponse(NamedTuple):
-    """A target's complete response, returned to the caller unchanged."""
+    """A target's complete response, returned to the caller unchanged.
+
+    Attributes:
+        status: The HTTP status.
+        headers: All headers except the hop-by-hop ones.
+        body: The complete body.
+        stamp: The target's signature of the response.
+    """
 
     status: int
     headers: Sequence[tuple[str, str]]
     body: bytes
+    stamp: str = ""
 
 
 class ServerSentEvent(NamedTuple):
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -31,7 +31,9 @@
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.local_job import JobDependencies
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
+from hibiscuspin.tasks.reward_calls import RewardCaller
 from hibiscuspin.tasks.route_table import Routes
+from hibiscuspin.tasks.scoring import Scoring
 from hibiscuspin.tasks.store_path import RELAY_METHOD, StorePath
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 from hibiscuspin.tasks.supervisor import Supervisor, Task
@@ -98,10 +100,17 @@
         self._write_executor = ThreadPoolExecutor(
             WRITE_THREADS, thread_name_prefix="write"
         )
+        self._forwarder = Forwarder(self._targets, self._clock)
+        rewards = RewardCaller(self._routes, self._forwarder, self._clock)
+        self._scoring = Scoring(
+            self._clock, rewards.startable_calls, self._metrics
+        )
         self._jobs = Jobs(
             JobDependencies(
                 job_store,
                 self._targets,
+                rewards,
+                self._scoring,
                 self._sample_executor,
                 self._write_executor,
                 self._routes.for_job,
@@ -118,7 +127,6 @@
             self._peers,
             self._clock,
         )
-        self._forwarder = Forwarder(self._targets, self._clock)
         self._retirement = retirement.RetirementReporter(
             self._store, self._clock
         )
@@ -274,6 +282,7 @@
             ),
             self._directory,
             self._instances,
+            self._scoring,
             JobRecovery(
                 self._instances,
                 self._jobs,
--- a/hibiscuspin/platform/batches.py
+++ b/hibiscuspin/platform/batches.py
@@ -9,7 +9,12 @@
 
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.platform import words
-from hibiscuspin.tasks.job_store import ItemResult, JobContents, JobItem
+from hibiscuspin.tasks.job_store import (
+    ItemResult,
+    JobContents,
+    JobItem,
+    RewardRequest,
+)
 from hibiscuspin.tasks.jobs import JobResults
 
 __all__ = ["decode_job", "encode_results"]
@@ -63,6 +68,7 @@
         ) from error
     if not items:
         raise HibiscusError(ErrorKind.BAD_FIELD, "The job has no items.")
+    _check_reward_ids(items)
     return contents
 
 
@@ -75,9 +81,46 @@
         body=b64decode(raw.get("body") or "", validate=True),
         group=str(raw.get("group") or raw["id"]),
         tokens=_expected_tokens(headers),
+        reward=_decode_reward(raw["id"], raw.get("scorer")),
     )
 
 
+def _decode_reward(item: object, raw: Any) -> RewardRequest | None:
+    if raw is None:
+        return None
+    if not isinstance(raw, dict):
+        raise _bad_reward(item, "scorer must be an object")
+    texts = {}
+    for field in ("id", "host", "path"):
+        value = raw.get(field)
+        if not isinstance(value, str) or not value:
+            raise _bad_reward(item, f"{field} must be a non-empty string")
+        texts[field] = value
+    try:
+        body = b64decode(raw.get("body") or "", validate=True)
+    except (TypeError, ValueError) as error:
+        raise _bad_reward(item, f"body must be base64: {error}") from error
+    return RewardRequest(texts["id"], texts["host"], texts["path"], body)
+
+
+def _bad_reward(item: object, problem: str) -> HibiscusError:
+    return HibiscusError(
+        ErrorKind.BAD_FIELD, f"The scorer of item {item} is invalid: {problem}."
+    )
+
+
+def _check_reward_ids(items: Sequence[JobItem]) -> None:
+    seen = set()
+    for item in items:
+        if item.reward is None:
+            continue
+        if item.reward.request_id in seen:
+            raise _bad_reward(
+                item.name, f"id {item.reward.request_id} is used twice"
+            )
+        seen.add(item.reward.request_id)
+
+
 def _require_text(text: object) -> str:
     if not isinstance(text, str) or not text:
         raise ValueError("id and path of an item must be non-empty strings")
@@ -113,9 +156,12 @@
 
 
 def _encode_result(row: ItemResult) -> dict[str, Any]:
-    return {
+    encoded = {
         "id": row.name,
         "state": COMPLETED_STATE if row.done else ERRORED_STATE,
         "text": row.text,
         "versions": row.versions,
     }
+    if row.score:
+        encoded["score"] = row.score
+    return encoded
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -15,6 +15,7 @@
 from hibiscuspin.platform import batches, words
 from hibiscuspin.platform.engines import NOT_FORWARDED_HEADERS
 from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
+from hibiscuspin.tasks.job_store import JobContents
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
@@ -151,10 +152,36 @@
         contents = batches.decode_job(
             job, incoming.host, incoming.path, incoming.body
         )
+        self._check_rewards(contents)
         deadline = started + _timeout_s(incoming, route.timeout_s)
         self._jobs.submit(contents, route, deadline)
         return Response(ACCEPTED_STATUS, words.JSON_CONTENT_TYPE, b"{}")
 
+    def _check_rewards(self, contents: JobContents) -> None:
+        """Checks that each reward call has a route.
+
+        Raises:
+            HibiscusError: `BAD_FIELD` if one has none, `NOT_CONFIGURED` if
+                the configuration may be out of date.
+        """
+        targets = {
+            (item.reward.host, item.reward.target): item.name
+            for item in contents.items
+            if item.reward is not None
+        }
+        for (host, target), item in targets.items():
+            path = target.partition("?")[0]
+            try:
+                self._routes.find(host, path, self._routes_current())
+            except HibiscusError as error:
+                if error.kind is not ErrorKind.NOT_FOUND:
+                    raise
+                raise HibiscusError(
+                    ErrorKind.BAD_FIELD,
+                    f"The scorer of item {item} is invalid: no route has host "
+                    f"{host} and path {path}.",
+                ) from error
+
     def _build_call(
         self, incoming: _IncomingRequest, route: ForwardRoute, started: float
     ) -> ForwardedCall:
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -113,7 +113,12 @@
             self._check_response(request, stream, body)
         finally:
             stream.close()
-        return ProxiedResponse(stream.status, _forwarded_headers(stream), body)
+        return ProxiedResponse(
+            stream.status,
+            _forwarded_headers(stream),
+            body,
+            stream.headers.get(words.TARGET_STAMP_HEADER, ""),
+        )
 
     def open_stream(
         self, request: ProxiedRequest, after: int, wait: WaitLimits
--- a/hibiscuspin/tasks/dispatcher.py
+++ b/hibiscuspin/tasks/dispatcher.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 import threading
 from concurrent.futures import Executor
 from functools import partial
@@ -15,15 +16,17 @@
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions.dispatch import SHARE_POLICIES
+from hibiscuspin.decisions.scoring import RetryLimits
 from hibiscuspin.decisions.staleness import oldest_version, version_spans
 from hibiscuspin.edges import GenerateRequest
+from hibiscuspin.edges.scorer import HttpScoringService
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.attempts import AttemptLog
 from hibiscuspin.tasks.live import ROLLOUT_PRIORITY
 from hibiscuspin.tasks.meters import NO_OP_METERS, Meters
 from hibiscuspin.tasks.rollout import CompleteGeneration, Rollout
 from hibiscuspin.tasks.samples import FinishedSample, SampleBody, Slot
-from hibiscuspin.tasks.scoring import MAX_BACKLOG, Scoring
+from hibiscuspin.tasks.scoring import MAX_BACKLOG, Scoring, ScoringRequest
 from hibiscuspin.tasks.steps import Steps
 from hibiscuspin.tasks.targets import Targets
 from hibiscuspin.tasks.trainer_state import Step, TrainerState
@@ -32,6 +35,7 @@
 
 TICK_S = 0.05
 SHARE_POLICY = "weighted"
+MAX_SCORING_FAILURES = 8
 
 _log = get_logger("rollouts")
 
@@ -73,6 +77,7 @@
         self._share_policy = SHARE_POLICIES[SHARE_POLICY]()
         self._numbers = itertools.count()
         self._runs_by_number: dict[int, _SlotRun] = {}
+        self._scoring_service_by_address: dict[str, HttpScoringService] = {}
         self._stop = threading.Event()
 
     def run(self, stop: threading.Event) -> None:
@@ -106,7 +111,8 @@
         shares = {s.name: s.declared["share"] for s in states}
         running = {state.name: state.running_count() for state in states}
         while running and len(self._runs_by_number) < self._threads:
-            if self._scoring.backlog >= MAX_BACKLOG:
+            unscored = self._scoring.backlog + len(self._runs_by_number)
+            if unscored >= MAX_BACKLOG:
                 return
             name = self._share_policy.choose(running, shares)
             step_and_slot = states_by_name[name].next_slot()
@@ -181,22 +187,45 @@
             self._score_sample(scorer, run, generated)
 
     def _score_sample(
-        self, scorer: str, run: _SlotRun, generated: CompleteGeneration
+        self, address: str, run: _SlotRun, generated: CompleteGeneration
     ) -> None:
-        def scored(reward: float | None) -> None:
+        def on_scored(reward: float | None) -> None:
             with self._steps.lock:
                 run.step.scoring_positions.discard(run.slot.position)
                 run.state.unscored += reward is None
                 self._store_sample(run, generated, reward)
                 self._steps.work_changed.notify_all()
 
-        self._scoring.score(
+        sample_id = run.slot.id(run.state.name, run.step.number)
+        scorer = self._scoring_service(address).scorer(
+            sample_id, run.slot.prompt["prompt"], "".join(generated.tokens)
+        )
+        request = ScoringRequest[float](
+            sample_id,
             scorer,
-            run.slot.id(run.state.name, run.step.number),
-            run.slot.prompt["prompt"],
-            "".join(generated.tokens),
-            scored,
+            RetryLimits(max_failures=MAX_SCORING_FAILURES),
+            math.inf,
+            math.inf,
+            # Trainers pull single samples, so groups do not matter.
+            lambda: 1,
+            self._stop.is_set,
+            on_scored,
         )
+        if not self._scoring.offer(request):
+            _log.warning(
+                "Sample not scored: the scoring queue is full.",
+                extra={"request_id": sample_id},
+            )
+            on_scored(None)
+
+    def _scoring_service(self, address: str) -> HttpScoringService:
+        """Returns the client of a scoring service."""
+        with self._steps.lock:
+            known = self._scoring_service_by_address.get(address)
+            if known is None:
+                known = HttpScoringService(address, self._clock)
+                self._scoring_service_by_address[address] = known
+            return known
 
     def _count_tokens(self, run: _SlotRun) -> None:
         rollout, state = run.rollout, run.state
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -25,7 +25,12 @@
     DiscoveredTargets,
 )
 
-__all__ = ["AttemptAbandonedError", "ForwardedCall", "Forwarder"]
+__all__ = [
+    "AttemptAbandonedError",
+    "CallResult",
+    "ForwardedCall",
+    "Forwarder",
+]
 
 # Per instance; each attempt blocks a thread of its own.
 MAX_CONCURRENT_ATTEMPTS = 128
@@ -58,6 +63,20 @@
     disconnected: Callable[[], bool]
 
 
+class CallResult(NamedTuple):
+    """The result of a call that a target responded to.
+
+    Attributes:
+        response: The response.
+        targets: The targets that received the call.
+        server_errors: How many of their responses were server errors.
+    """
+
+    response: ProxiedResponse
+    targets: tuple[str, ...]
+    server_errors: int
+
+
 class _AttemptResult(NamedTuple):
     """The result of one attempt: a response or an error."""
 
@@ -95,7 +114,17 @@
             HibiscusError: The call failed; the error says whether it may have
                 been executed.
         """
-        return _AttemptRace(self, call).run()
+        return self.call(call).response
+
+    def call(self, call: ForwardedCall) -> CallResult:
+        """Returns a target's response, and how it was obtained.
+
+        Raises:
+            HibiscusError: As for `forward`.
+        """
+        race = _AttemptRace(self, call)
+        response = race.run()
+        return CallResult(response, tuple(race.targets), race.server_errors)
 
     def load(self, service: str) -> queueing.ServiceLoad:
         """Returns a service's load as observed by this instance."""
@@ -150,6 +179,8 @@
         self._in_flight = 0
         self._may_have_run = 0
         self._tried: list[str] = []
+        self.targets: list[str] = []
+        self.server_errors = 0
         self._hedge_at = self._deadline
         self._last_response: ProxiedResponse | None = None
         self._last_error: TargetError | None = None
@@ -173,10 +204,10 @@
                         kind=ActionKind.WAIT,
                         until=self._clock.monotonic() + queueing.POLL_PERIOD_S,
                     )
-                if action.kind is ActionKind.REJECT:
-                    raise self._rejection(action)
                 if action.kind is ActionKind.GIVE_UP:
                     return self._fail_or_return_last()
+                if action.kind is ActionKind.REJECT:
+                    raise self._rejection(action)
                 response = self._await_result(action.until)
                 if response is not None:
                     self._log_response(response)
@@ -194,7 +225,7 @@
                 "request_id": self._call.request.request_id,
                 "route": self._call.route.name,
                 "service": self._call.service,
-                "targets": self._tried,
+                "targets": self.targets,
                 "status": response.status,
                 "took_s": round(now - self._call.arrived_at, 4),
                 "list_age_s": round(now - self._targets.list_received_at, 2),
@@ -237,6 +268,7 @@
         if target is None:
             return False
         self._tried.append(view.name)
+        self.targets.append(view.name)
         if not self._may_have_run:
             self._forwarder._count_first_attempt()
         self._in_flight += 1
@@ -301,10 +333,10 @@
             return None
         self._targets.record_success(result.target, answer_s=result.took_s)
         self._last_response = response
-        final = (
-            response.status < FIRST_SERVER_ERROR_STATUS or not self._repeatable
-        )
-        return response if final else None
+        is_server_error = response.status >= FIRST_SERVER_ERROR_STATUS
+        self.server_errors += is_server_error
+        is_final = not is_server_error or not self._repeatable
+        return response if is_final else None
 
     def _handle_error(self, result: _AttemptResult, error: TargetError) -> None:
         self._last_error = error
@@ -339,7 +371,7 @@
             extra={
                 "request_id": call.request.request_id,
                 "service": call.service,
-                "targets": self._tried,
+                "targets": self.targets,
                 "may_have_run": self._may_have_run,
                 "late": now >= self._deadline,
                 "reason": reason,
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -9,7 +9,7 @@
 
 import zlib
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple, TypedDict
+from typing import Any, NamedTuple, TypedDict, TypeVar
 
 import msgspec
 
@@ -34,13 +34,17 @@
     "JobHead",
     "JobItem",
     "JobStore",
+    "RewardRequest",
+    "SavedSamples",
     "StoredHead",
+    "trim_default",
 ]
 
 HEAD_PREFIX = "hibiscuspin/jobs/"
 _PART_PREFIX = "hibiscuspin/job-parts/"
 _RESULT_PREFIX = "hibiscuspin/job-results/"
 _EVENTS_PREFIX = "hibiscuspin/job-made/"
+_SCORES_SUFFIX = "/scores"
 
 # Values are limited to 1 MB on the wire, where base64 adds a third.
 MAX_PART_BYTES = 700_000
@@ -48,6 +52,24 @@
 MAX_DELETES_PER_COMMIT = 32
 CALL_TIMEOUT_S = 2.0
 
+T = TypeVar("T")
+
+
+class RewardRequest(NamedTuple):
+    """The call that scores one complete sample.
+
+    Attributes:
+        request_id: The call's id.
+        host: The host that selects the route.
+        target: Path and query of the call.
+        body: The call's body.
+    """
+
+    request_id: str
+    host: str
+    target: str
+    body: bytes
+
 
 class JobItem(NamedTuple):
     """The request of one sample.
@@ -59,6 +81,7 @@
         body: The request's body.
         group: The group of samples that share the prompt.
         tokens: The expected number of tokens of the result.
+        reward: The call that scores the sample; None if it is not scored.
     """
 
     name: str
@@ -67,6 +90,7 @@
     body: bytes
     group: str
     tokens: float
+    reward: RewardRequest | None = None
 
 
 class JobContents(NamedTuple):
@@ -100,12 +124,27 @@
         done: Whether the text is complete; otherwise the item was given up.
         text: The data of the sample's events, one a line.
         versions: The weight versions that generated it, in ascending order.
+        score: The score; an empty string for a sample that is not scored.
     """
 
     name: str
     done: bool
     text: str
     versions: tuple[int, ...]
+    score: str = ""
+
+
+class SavedSamples(NamedTuple):
+    """The unpublished samples that a job's next holder continues.
+
+    Attributes:
+        events_by_name: The events of each sample by item.
+        score_by_name: The scores of the complete samples by item; an empty
+            string for one that has no score yet.
+    """
+
+    events_by_name: Mapping[str, Sequence[SampleEvent]] = {}
+    score_by_name: Mapping[str, str] = {}
 
 
 class JobHead(TypedDict):
@@ -260,7 +299,7 @@
         """
         head_key = HEAD_PREFIX + job
         key = f"{_RESULT_PREFIX}{job}/{first:06d}"
-        packed = _encode_results(results)
+        packed = _pack([trim_default(result) for result in results])
         puts = [PutOperation(key, packed)]
         head: JobHead = {**stored.head, "done": done}
         if done:
@@ -297,41 +336,45 @@
             raise FencedError(current)
         return current
 
-    def save_events(
+    def save_samples(
         self,
         job: str,
         stored: StoredHead,
-        events_by_name: Mapping[str, Sequence[SampleEvent]],
+        saved: SavedSamples,
         deadline: float,
     ) -> None:
-        """Saves the events of unfinished samples for the next holder.
+        """Saves unpublished samples for the next holder.
 
         Raises:
             FencedError: The job has another head.
             StoreError: The outcome is unknown.
         """
         head_key = HEAD_PREFIX + job
-        packed = zlib.compress(msgspec.msgpack.encode(events_by_name), level=1)
+        events_key = _EVENTS_PREFIX + job
+        scores_key = events_key + _SCORES_SUFFIX
+        puts = [PutOperation(events_key, _pack(saved.events_by_name))]
+        deletes = []
+        if saved.score_by_name:
+            puts.append(PutOperation(scores_key, _pack(saved.score_by_name)))
+        else:
+            deletes.append(scores_key)
         outcome = self._store.commit(
-            Transaction(
-                {head_key: stored.revision},
-                (PutOperation(_EVENTS_PREFIX + job, packed),),
-            ),
-            deadline,
+            Transaction({head_key: stored.revision}, puts, deletes), deadline
         )
         if isinstance(outcome, CommitConflict):
             value = outcome.values_by_key.get(head_key)
             raise FencedError(_decode_head(value) if value else None)
 
-    def load_events(
-        self, job: str, deadline: float
-    ) -> dict[str, list[SampleEvent]]:
-        """Reads the saved events of unfinished samples, by item."""
-        value = self._store.read(_EVENTS_PREFIX + job, deadline)
-        if value is None:
-            return {}
-        return msgspec.msgpack.decode(
-            zlib.decompress(value.value), type=dict[str, list[SampleEvent]]
+    def load_samples(self, job: str, deadline: float) -> SavedSamples:
+        """Reads the samples that the previous holder saved."""
+        events_key = _EVENTS_PREFIX + job
+        scan = self._store.scan(events_key, deadline)
+        value_by_key = {value.key: value.value for value in scan.values}
+        events = value_by_key.get(events_key)
+        scores = value_by_key.get(events_key + _SCORES_SUFFIX)
+        return SavedSamples(
+            _unpack(events, dict[str, list[SampleEvent]]) if events else {},
+            _unpack(scores, dict[str, str]) if scores else {},
         )
 
     def replace_head(
@@ -363,7 +406,8 @@
             for start in range(0, len(keys), MAX_DELETES_PER_COMMIT):
                 chunk = keys[start : start + MAX_DELETES_PER_COMMIT]
                 self._store.commit(Transaction({}, (), chunk), deadline)
-        rest = [_EVENTS_PREFIX + job, HEAD_PREFIX + job]
+        events_key = _EVENTS_PREFIX + job
+        rest = [events_key, events_key + _SCORES_SUFFIX, HEAD_PREFIX + job]
         self._store.commit(Transaction({}, (), rest), deadline)
 
 
@@ -373,16 +417,30 @@
 
 
 def _encode_parts(contents: JobContents) -> list[bytes]:
-    packed = zlib.compress(msgspec.msgpack.encode(contents), level=1)
+    items = [trim_default(item) for item in contents.items]
+    packed = _pack(contents._replace(items=items))
     return [
         packed[start : start + MAX_PART_BYTES]
         for start in range(0, len(packed), MAX_PART_BYTES)
     ]
 
 
-def _encode_results(results: Sequence[ItemResult]) -> bytes:
-    return zlib.compress(msgspec.msgpack.encode(results), level=1)
+def trim_default(row: Any) -> Any:
+    """Returns a named tuple without its last field if that has its default.
+
+    Builds that do not know the field can then decode the row.
+    """
+    field, default = next(reversed(row._field_defaults.items()))
+    return tuple(row[:-1]) if getattr(row, field) == default else row
+
+
+def _pack(value: object) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode(value), level=1)
+
+
+def _unpack(value: bytes, kind: type[T]) -> T:
+    return msgspec.msgpack.decode(zlib.decompress(value), type=kind)
 
 
 def _decode_results(value: bytes) -> list[ItemResult]:
-    return msgspec.msgpack.decode(zlib.decompress(value), type=list[ItemResult])
+    return _unpack(value, list[ItemResult])
--- a/hibiscuspin/tasks/job_writer.py
+++ b/hibiscuspin/tasks/job_writer.py
@@ -5,15 +5,15 @@
 thread through its queue, and it passes them to `handle_call_result`.
 """
 
+import math
 import threading
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import Executor
 from typing import NamedTuple, TypeVar
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import job_order
-from hibiscuspin.decisions.samples import SampleEvent
 from hibiscuspin.edges import StoreError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.job_store import (
@@ -21,11 +21,12 @@
     ItemResult,
     JobContents,
     JobStore,
+    SavedSamples,
     StoredHead,
 )
 from hibiscuspin.tasks.sample_runs import Sample
 
-__all__ = ["JobWriter", "StoreCallResult"]
+__all__ = ["JobWriter", "StoreCallResult", "saved_samples"]
 
 # A holder must notice well within 3 s that the trainer has ended the job.
 VERIFY_PERIOD_S = 1.0
@@ -108,7 +109,7 @@
         self._published_at = 0.0
         self._retry_at = 0.0
         self._saved_at = self._verified_at = now
-        self._saved_events = 0
+        self._saved_progress = 0
         self._group_by_name = {item.name: item.group for item in contents.items}
         groups = set(self._group_by_name.values())
         self._total_groups = len(groups)
@@ -134,6 +135,10 @@
         """Whether all results are published."""
         return len(self._published) == self._total
 
+    def unfinished_in_group(self, group: str) -> int:
+        """Returns how many samples of a group are unfinished."""
+        return self._unfinished_by_group[group]
+
     @property
     def settled(self) -> bool:
         """Whether no write of results has an unknown outcome."""
@@ -200,18 +205,20 @@
             return
         if self._chunk_to_publish is None:
             self._chunk_to_publish = self._next_chunk(now)
-        events = sum(
-            len(sample.events)
-            for sample in samples
-            if len(sample.events) >= MIN_SAVED_EVENTS
+        progress = sum(
+            sample.progress for sample in samples if _is_worth_saving(sample)
+        )
+        oldest_text_at = min(
+            (s.completed_at for s in samples if _is_unsaved_text(s)),
+            default=math.inf,
         )
         if self._chunk_to_publish is not None:
             self._publish(self._chunk_to_publish)
         elif job_order.save_due(
-            events - self._saved_events, self._saved_at, now
+            progress - self._saved_progress, oldest_text_at, self._saved_at, now
         ):
-            self._saved_at, self._saved_events = now, events
-            self._save_events(self._events_to_save(samples))
+            self._saved_at, self._saved_progress = now, progress
+            self._save_samples(self._samples_to_save(samples))
         elif now - self._verified_at >= VERIFY_PERIOD_S:
             self._verify()
 
@@ -267,16 +274,16 @@
 
         self._submit(call, finish)
 
-    def _save_events(
-        self, events_by_name: dict[str, list[SampleEvent]]
-    ) -> None:
+    def _save_samples(self, samples: Sequence[Sample]) -> None:
+        saved = saved_samples(samples)
+
         def call(deadline: float) -> None:
-            self._store.save_events(
-                self._job, self.stored, events_by_name, deadline
-            )
+            self._store.save_samples(self._job, self.stored, saved, deadline)
 
         def finish(result: None) -> None:
             self._verified_at = self._clock.monotonic()
+            for sample in samples:
+                sample.saved_complete = sample.item.name in saved.score_by_name
 
         self._submit(call, finish)
 
@@ -294,26 +301,24 @@
 
         self._submit(call, finish)
 
-    def _events_to_save(
-        self, samples: Sequence[Sample]
-    ) -> dict[str, list[SampleEvent]]:
-        """Returns the events of the longest unpublished samples."""
+    def _samples_to_save(self, samples: Sequence[Sample]) -> list[Sample]:
+        """Returns the complete and the longest unpublished samples."""
         published_names = {result.name for result in self._published}
         unpublished = [
             sample
             for sample in samples
             if sample.item.name not in published_names
+            and _is_worth_saving(sample)
         ]
-        unpublished.sort(key=lambda sample: -len(sample.events))
-        events_by_name: dict[str, list[SampleEvent]] = {}
+        unpublished.sort(key=lambda s: (not s.complete, -len(s.events)))
+        fitting = []
         size = 0
         for sample in unpublished:
-            events = list(sample.events)
-            size += sum(len(event.data) for event in events)
-            if len(events) < MIN_SAVED_EVENTS or size > MAX_SAVED_BYTES:
+            size += sum(len(event.data) for event in sample.events)
+            if size > MAX_SAVED_BYTES:
                 break
-            events_by_name[sample.item.name] = events
-        return events_by_name
+            fitting.append(sample)
+        return fitting
 
     def _next_chunk(self, now: float) -> _Chunk | None:
         finished = self._finished
@@ -360,3 +365,24 @@
             if size > job_order.MAX_PUBLISH_BYTES and count:
                 return tuple(finished[:count]), finished[count:]
         return tuple(finished), []
+
+
+def _is_worth_saving(sample: Sample) -> bool:
+    return sample.complete or len(sample.events) >= MIN_SAVED_EVENTS
+
+
+def _is_unsaved_text(sample: Sample) -> bool:
+    is_unscored = sample.complete and sample.score is None
+    return is_unscored and not (sample.finished or sample.saved_complete)
+
+
+def saved_samples(samples: Iterable[Sample]) -> SavedSamples:
+    """Returns what the next holder needs in order to continue samples."""
+    events_by_name = {}
+    score_by_name = {}
+    for sample in samples:
+        # A run may append events meanwhile, but not to a complete sample.
+        if sample.complete:
+            score_by_name[sample.item.name] = sample.score or ""
+        events_by_name[sample.item.name] = list(sample.events)
+    return SavedSamples(events_by_name, score_by_name)
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -6,7 +6,7 @@
 
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -31,7 +31,9 @@
     ItemResult,
     JobContents,
     JobHead,
+    SavedSamples,
     StoredHead,
+    trim_default,
 )
 from hibiscuspin.tasks.local_job import JobDependencies, LocalJob
 
@@ -74,7 +76,8 @@
 
 class _AdoptRequest(NamedTuple):
     job: str
-    events_by_name: dict[str, list[SampleEvent]]
+    events_by_name: Mapping[str, Sequence[SampleEvent]]
+    score_by_name: Mapping[str, str] = {}
 
 
 class _ResultsRequest(NamedTuple):
@@ -368,17 +371,12 @@
         except FencedError as fenced:
             return fenced.current
 
-    def adopt(
-        self,
-        job: str,
-        events_by_name: dict[str, list[SampleEvent]] | None = None,
-    ) -> bool:
+    def adopt(self, job: str, sent: SavedSamples | None = None) -> bool:
         """Takes over a job from the store; returns whether it is held here.
 
         Args:
             job: The job's id.
-            events_by_name: The events of unfinished samples by item, as the
-                previous holder sent them.
+            sent: The unpublished samples, as the previous holder sent them.
 
         Raises:
             StoreError: The store could not be reached.
@@ -402,8 +400,9 @@
             return False
         contents = self._store.contents(job, head["parts"], deadline)
         published = self._store.results(job, deadline)
-        saved_events = self._store.load_events(job, deadline)
-        events_by_name = _longer_events(saved_events, events_by_name or {})
+        saved = _merge_samples(
+            self._store.load_samples(job, deadline), sent or SavedSamples()
+        )
         route_and_service = self._dependencies.route_of(contents)
         if route_and_service is None:
             return False
@@ -413,7 +412,7 @@
             published,
             route_and_service[0],
             self._dependencies,
-            events_by_name,
+            saved,
         )
         self._start(local)
         _log.info(
@@ -422,7 +421,8 @@
                 "job": job,
                 "from": previous_holder,
                 "listed": len(published),
-                "samples_begun": len(events_by_name),
+                "samples_begun": len(saved.events_by_name),
+                "samples_complete": len(saved.score_by_name),
             },
         )
         return True
@@ -446,18 +446,19 @@
         for job, local in list(self._job_by_id.items()):
             if local.stopped or local.done:
                 continue
-            events_by_name = local.stop_for_handover()
-            self._hand_over_job(job, events_by_name, jobs_by_holder)
+            saved = local.stop_for_handover()
+            self._hand_over_job(job, saved, jobs_by_holder)
 
     def _hand_over_job(
         self,
         job: str,
-        events_by_name: dict[str, list[SampleEvent]],
+        saved: SavedSamples,
         jobs_by_holder: dict[str, int],
     ) -> None:
         members = self._instances.members()
         members.pop(self._instances.member.name, None)
-        request = msgspec.msgpack.encode(_AdoptRequest(job, events_by_name))
+        adopt_request = _AdoptRequest(job, *saved)
+        request = msgspec.msgpack.encode(trim_default(adopt_request))
         refused: list[str] = []
         while member := recovery.choose_holder(
             job, members, jobs_by_holder, refused
@@ -569,7 +570,8 @@
         )
         if results is None:
             raise _not_holder(request.job)
-        return msgspec.msgpack.encode(results)
+        rows = [trim_default(row) for row in results.results]
+        return msgspec.msgpack.encode((results.total, rows))
 
     def _serve_item(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_ItemRequest)
@@ -594,21 +596,23 @@
     def _serve_adopt(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_AdoptRequest)
         try:
-            adopted = self.adopt(request.job, request.events_by_name)
+            sent = SavedSamples(request.events_by_name, request.score_by_name)
+            adopted = self.adopt(request.job, sent)
         except StoreError as error:
             raise _store_unavailable(error) from error
         return msgspec.msgpack.encode(adopted)
 
 
-def _longer_events(
-    saved: dict[str, list[SampleEvent]], sent: dict[str, list[SampleEvent]]
-) -> dict[str, list[SampleEvent]]:
-    """Returns the longer of the two event lists of each sample."""
-    longer = dict(saved)
-    for name, events in sent.items():
-        if len(events) > len(longer.get(name, ())):
-            longer[name] = events
-    return longer
+def _merge_samples(saved: SavedSamples, sent: SavedSamples) -> SavedSamples:
+    """Returns the longer event list and the known score of each sample."""
+    events_by_name = dict(saved.events_by_name)
+    score_by_name = dict(saved.score_by_name)
+    for name, events in sent.events_by_name.items():
+        if len(events) > len(events_by_name.get(name, ())):
+            events_by_name[name] = events
+    for name, score in sent.score_by_name.items():
+        score_by_name[name] = score or score_by_name.get(name, "")
+    return SavedSamples(events_by_name, score_by_name)
 
 
 def _store_unavailable(error: StoreError) -> HibiscusError:
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import job_order, placement, samples
+from hibiscuspin.decisions import job_order, placement, samples, scoring
 from hibiscuspin.decisions.placement import TargetView
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import NextAction, RunOutcome
@@ -24,10 +24,17 @@
     ItemResult,
     JobContents,
     JobStore,
+    SavedSamples,
     StoredHead,
 )
-from hibiscuspin.tasks.job_writer import JobWriter, StoreCallResult
+from hibiscuspin.tasks.job_writer import (
+    JobWriter,
+    StoreCallResult,
+    saved_samples,
+)
+from hibiscuspin.tasks.reward_calls import RewardCaller
 from hibiscuspin.tasks.sample_runs import RunLimits, Sample, SampleRun
+from hibiscuspin.tasks.scoring import Scoring, ScoringRequest
 
 __all__ = ["JobDependencies", "LocalJob"]
 
@@ -47,6 +54,8 @@
     Attributes:
         store: The store of jobs and results.
         targets: The discovered targets.
+        rewards: Sends the calls that score samples.
+        scoring: The queue of samples to score.
         run_executor: The executor of sample runs.
         store_executor: The executor of calls to the store.
         route_of: Returns a job's route and service; None if the route was
@@ -57,6 +66,8 @@
 
     store: JobStore
     targets: DiscoveredTargets
+    rewards: RewardCaller
+    scoring: Scoring
     run_executor: Executor
     store_executor: Executor
     route_of: Callable[[JobContents], tuple[ForwardRoute, str] | None]
@@ -71,6 +82,13 @@
     outcome: RunOutcome
 
 
+class _ScoreResult(NamedTuple):
+    """A sample's score, or None if it was given up."""
+
+    sample: Sample
+    score: str | None
+
+
 class LocalJob:
     """A job that this instance holds, from acceptance or takeover on."""
 
@@ -81,7 +99,7 @@
         published: Sequence[ItemResult],
         route: ForwardRoute,
         dependencies: JobDependencies,
-        events_by_name: dict[str, list[samples.SampleEvent]] | None = None,
+        saved: SavedSamples | None = None,
     ) -> None:
         self.contents = contents
         self._route = route
@@ -90,9 +108,9 @@
         self._stopped = threading.Event()
         self._released = False
         self._tokens_per_event = 1.0
-        self._inbox: queue.SimpleQueue[_RunResult | StoreCallResult | None] = (
-            queue.SimpleQueue()
-        )
+        self._inbox: queue.SimpleQueue[
+            _RunResult | _ScoreResult | StoreCallResult | None
+        ] = queue.SimpleQueue()
         age_s = max(0.0, self._clock.wall() - stored.head["submitted_at"])
         self._submitted_at = self._clock.monotonic() - age_s
         due_s = route.result_due_s + DUE_GRACE_S
@@ -111,18 +129,20 @@
             self._inbox.put,
             self._clock,
         )
-        self._samples = self._unpublished_samples(events_by_name or {})
+        self._samples = self._unpublished_samples(saved or SavedSamples())
 
-    def _unpublished_samples(
-        self, events_by_name: dict[str, list[samples.SampleEvent]]
-    ) -> list[Sample]:
+    def _unpublished_samples(self, saved: SavedSamples) -> list[Sample]:
         published_names = {result.name for result in self._writer.published}
         unpublished = []
         for index, item in enumerate(self.contents.items):
             if item.name in published_names:
                 continue
             sample = Sample(index, item)
-            sample.events = list(events_by_name.get(item.name, ()))
+            sample.events = list(saved.events_by_name.get(item.name, ()))
+            sample.complete = bool(
+                sample.events and item.name in saved.score_by_name
+            )
+            sample.score = saved.score_by_name.get(item.name) or None
             unpublished.append(sample)
         return unpublished
 
@@ -171,6 +191,7 @@
                 now = self._clock.monotonic()
                 if now >= self._give_up_at:
                     self._give_up_unfinished("its time limit has passed")
+                self._finish_complete_samples()
                 self._start_samples(now)
                 self._move_stragglers(now)
                 self._writer.start_due_call(self._samples, now)
@@ -213,19 +234,11 @@
         runs = [sample.run for sample in self._samples]
         return [run for run in runs if run and run.target.name in names]
 
-    def stop_for_handover(self) -> dict[str, list[samples.SampleEvent]]:
-        """Stops all work for a handover.
-
-        Returns:
-            The events of unfinished samples by item.
-        """
+    def stop_for_handover(self) -> SavedSamples:
+        """Stops all work; returns what the next holder continues with."""
         self._released = True
         self.stop()
-        return {
-            sample.item.name: list(sample.events)
-            for sample in self._samples
-            if sample.events
-        }
+        return saved_samples(s for s in self._samples if s.events)
 
     def _stop_fenced(self, current: StoredHead | None) -> None:
         self._released = True
@@ -249,6 +262,8 @@
             while message is not None:
                 if isinstance(message, _RunResult):
                     self._handle_run_end(message.run, message.outcome)
+                elif isinstance(message, _ScoreResult):
+                    self._handle_score(message.sample, message.score)
                 else:
                     self._writer.handle_call_result(message)
                 message = self._inbox.get_nowait()
@@ -264,7 +279,6 @@
         next_action = samples.after_run(
             outcome, sample.errors, self._route.max_attempts
         )
-        versions = samples.distinct_versions(sample.events)
         if outcome is not RunOutcome.WHOLE:
             sample.avoided_targets = {run.target.name}
         _log.info(
@@ -275,18 +289,64 @@
                 "target": run.target.name,
                 "end": outcome.name,
                 "events": len(sample.events),
-                "versions": versions,
+                "versions": sample.versions,
                 "next": next_action.name,
                 "reason": run.detail,
             },
         )
         if next_action is NextAction.LIST:
-            text = "\n".join(event.data for event in sample.events)
-            result = ItemResult(sample.item.name, True, text, versions)
-            self._finish_sample(sample, result)
+            sample.complete = True
+            sample.completed_at = self._clock.monotonic()
         elif next_action is NextAction.GIVE_UP:
-            result = ItemResult(sample.item.name, False, "", ())
-            self._finish_sample(sample, result)
+            self._give_up_sample(sample)
+
+    def _handle_score(self, sample: Sample, score: str | None) -> None:
+        if sample.finished or self.stopped:
+            return
+        if score is None:
+            self._give_up_sample(sample)
+        else:
+            sample.score = score
+
+    def _finish_complete_samples(self) -> None:
+        """Finishes scored samples, and queues the others for scoring."""
+        for sample in self._samples:
+            if not sample.complete or sample.finished:
+                continue
+            if sample.item.reward is None or sample.score is not None:
+                result = ItemResult(
+                    sample.item.name,
+                    True,
+                    sample.text,
+                    sample.versions,
+                    sample.score or "",
+                )
+                self._finish_sample(sample, result)
+            elif not sample.scoring:
+                sample.scoring = self._offer_for_scoring(sample)
+
+    def _offer_for_scoring(self, sample: Sample) -> bool:
+        """Queues a sample for scoring; returns False if the queue is full."""
+        reward = sample.item.reward
+        if reward is None:
+            return False
+        rewards = self._dependencies.rewards
+        max_errors = rewards.max_server_errors(reward, self._route.max_attempts)
+        request = ScoringRequest[str](
+            sample.item.name,
+            rewards.scorer(reward, self._stopped.is_set),
+            scoring.RetryLimits(max_server_errors=max_errors),
+            self._due_at,
+            self._give_up_at,
+            lambda: self._writer.unfinished_in_group(sample.item.group),
+            self._stopped.is_set,
+            lambda score: self._inbox.put(_ScoreResult(sample, score)),
+        )
+        return self._dependencies.scoring.offer(request)
+
+    def _give_up_sample(self, sample: Sample) -> None:
+        result = ItemResult(sample.item.name, False, "", ())
+        self._finish_sample(sample, result)
 
     def _finish_sample(self, sample: Sample, result: ItemResult) -> None:
         sample.finished = True
@@ -299,8 +359,7 @@
             if sample.run is not None:
                 sample.run.move_requested.set()
                 sample.run = None
-            result = ItemResult(sample.item.name, False, "", ())
-            self._finish_sample(sample, result)
+            self._give_up_sample(sample)
             _log.info(
                 "Unfinished sample of a job given up.",
                 extra={
@@ -311,11 +370,7 @@
             )
 
     def _start_samples(self, now: float) -> None:
-        waiting = [
-            sample
-            for sample in self._samples
-            if not sample.finished and sample.run is None
-        ]
+        waiting = [sample for sample in self._samples if sample.needs_run]
         if not waiting:
             return
         route_and_service = self._dependencies.route_of(self.contents)
@@ -414,9 +469,7 @@
             return
         self._last_move_at = now
         running = [s for s in self._samples if s.run is not None]
-        if not running or any(
-            s.run is None and not s.finished for s in self._samples
-        ):
+        if not running or any(s.needs_run for s in self._samples):
             return
         route_and_service = self._dependencies.route_of(self.contents)
         if route_and_service is None:
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -8,6 +8,7 @@
 from hibiscuspin.decisions.samples import (
     RunOutcome,
     SampleEvent,
+    distinct_versions,
     remaining_events,
     reusable_events,
     urgency,
@@ -41,7 +42,16 @@
 
 
 class Sample:
-    """An item of a job, and the events that were generated for it so far."""
+    """An item of a job, and the events that were generated for it so far.
+
+    Attributes:
+        complete: Whether all events were generated.
+        completed_at: When that was noticed, in monotonic time.
+        saved_complete: Whether it was saved for the next holder as complete.
+        score: The score of a complete sample; None while it has none.
+        scoring: Whether the sample is queued for scoring.
+        finished: Whether its result was passed to the writer.
+    """
 
     def __init__(self, index: int, item: JobItem) -> None:
         self.index = index
@@ -50,8 +60,33 @@
         self.errors = 0
         self.avoided_targets: set[str] = set()
         self.run: SampleRun | None = None
+        self.complete = False
+        self.completed_at = 0.0
+        self.saved_complete = False
+        self.score: str | None = None
+        self.scoring = False
         self.finished = False
 
+    @property
+    def needs_run(self) -> bool:
+        """Whether it waits for a run on an engine."""
+        return self.run is None and not self.complete and not self.finished
+
+    @property
+    def progress(self) -> int:
+        """The number of its events, plus one for its score."""
+        return len(self.events) + (self.score is not None)
+
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """The weight versions of its events, in ascending order."""
+        return distinct_versions(self.events)
+
+    @property
+    def text(self) -> str:
+        """The data of its events, one a line."""
+        return "\n".join(event.data for event in self.events)
+
     def remaining_events(self, tokens_per_event: float) -> float:
         """Returns the expected number of remaining events."""
         return remaining_events(
