Score samples on the stand-ins, in the demo and in the soak test

Cause: neither the demo nor the soak test sent reward calls.

Change: jobs of the stand-in fleet have a reward call for each item; one item a job can't be scored. The targets record stamps and the ends of texts. The soak test checks that each score is a stamp of the item's own reward call, which was made after its last event, and that the other item is given up.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -11,12 +11,12 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from bench.fleet import Fleet, Instance, request
 from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
-from standins.platform_fleet import PlatformFleet
+from standins.platform_fleet import PlatformFleet, reward_id
 from standins.tokens import expected_tokens
 
 CALLER_TOKEN = "counters-token"
@@ -27,6 +27,7 @@
 LOAD_S = 2.0
 PLATFORM_CALLS = 20
 PLATFORM_EVENTS = 120
+UNSCORABLE_ITEM = "demo-job-0-0"
 KILL_AFTER_S = 1.0
 JOB_TIMEOUT_S = 15.0
 ROW_FORMAT = "{:<44} {:<6} {}"
@@ -212,7 +213,9 @@
             served == PLATFORM_CALLS,
             f"{served} of {PLATFORM_CALLS} answered",
         )
-        fleet.submit_job("edge-0", "demo-job", 3, 4, PLATFORM_EVENTS)
+        fleet.submit_job(
+            "edge-0", "demo-job", 3, 4, PLATFORM_EVENTS, [UNSCORABLE_ITEM]
+        )
         time.sleep(KILL_AFTER_S)
         before = fleet.read_results("edge-1", "demo-job", 0, 0)["results"]
         fleet.instance_by_name["edge-0"].process.kill()
@@ -222,9 +225,29 @@
         return [
             calls,
             CheckResult("a job whose holder is killed", is_complete, observed),
+            check_scores(fleet, rows),
         ]
 
 
+def check_scores(
+    fleet: PlatformFleet, rows: list[dict[str, Any]]
+) -> CheckResult:
+    """Compares scores with the stamps that targets gave to reward calls."""
+    stamps = {
+        (record["id"], record["stamp"])
+        for name in fleet.target_names()
+        for record in fleet.target_records(name)
+        if "stamp" in record
+    }
+    scored = sum((reward_id(r["id"]), r.get("score")) in stamps for r in rows)
+    errored = [row["id"] for row in rows if row["state"] == "errored"]
+    return CheckResult(
+        "samples scored by their reward calls",
+        scored == len(rows) - 1 and errored == [UNSCORABLE_ITEM],
+        f"{scored} scored, {len(errored)} given up",
+    )
+
+
 def main() -> int:
     """Runs all checks and prints the table."""
     with Fleet.running() as fleet:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,6 +17,8 @@
 EVENTS_PER_SAMPLE = 60
 GROUPS_PER_JOB = 2
 SAMPLES_PER_GROUP = 4
+# The reward call of this item of each job always fails.
+UNSCORABLE_ITEM = "0-0"
 JOB_READ_TIMEOUT_S = 10.0
 
 
@@ -127,6 +129,7 @@
                     GROUPS_PER_JOB,
                     SAMPLES_PER_GROUP,
                     EVENTS_PER_SAMPLE,
+                    unscorable=[f"{job}-{UNSCORABLE_ITEM}"],
                 )
             except TargetError:
                 status = 0
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,11 +21,12 @@
     EVENTS_PER_SAMPLE,
     GROUPS_PER_JOB,
     SAMPLES_PER_GROUP,
+    UNSCORABLE_ITEM,
     Callers,
     Trainer,
 )
 from soak.plan import FAULT_PHASE_S, Fault, make_plan
-from standins.platform_fleet import MODEL, PlatformFleet
+from standins.platform_fleet import MODEL, PlatformFleet, reward_id
 
 __all__ = ["main", "run_seed"]
 
@@ -209,11 +210,40 @@
         if len({row["id"] for row in rows}) != total:
             self.violations.append(f"{job}: {len(rows)} of {total} results")
         for row in rows:
+            if row["id"] == f"{job}-{UNSCORABLE_ITEM}":
+                if row["state"] != "errored" or "score" in row:
+                    self.violations.append(f"{row['id']}: scored, but can't be")
+                continue
             lines = [f"{row['id']}-{n + 1}" for n in range(EVENTS_PER_SAMPLE)]
             if row["state"] != "completed" or row["text"] != "\n".join(lines):
                 self.violations.append(
                     f"{row['id']}: incomplete or unexpected text"
                 )
+            self._check_score(row)
+
+    def _check_score(self, row: dict[str, Any]) -> None:
+        """Checks that a score is the stamp of a call made after the text."""
+        scored_at = [
+            record["at"]
+            for record in self._run_records
+            if record.get("id") == reward_id(row["id"])
+            and record.get("stamp", "") == row.get("score")
+        ]
+        ended_at = [
+            record["at"]
+            for record in self._run_records
+            if record.get("ended") == row["id"]
+        ]
+        # The records of an engine's last moments are lost with it.
+        engines_killed = any(f.kind == "engine_kill" for f in self._plan)
+        if not scored_at:
+            self.violations.append(
+                f"{row['id']}: {row.get('score')} is no stamp of its reward"
+            )
+        elif ended_at and min(ended_at) > scored_at[0]:
+            self.violations.append(f"{row['id']}: scored before its last event")
+        elif not ended_at and not engines_killed:
+            self.violations.append(f"{row['id']}: no engine generated its text")
 
     def _check_orders(self) -> None:
         orders = [run["order"] for run in self._run_records if "order" in run]
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -2,7 +2,8 @@
 
 A call with `X-Token-Count` is answered as by a model engine: with a stream of
 events, numbered from the one after `Last-Event-ID` to the header's last number.
-Other calls are answered as by a plain service. An order to load a newer version
+Other calls are answered as by a plain service, and with 500 if their path ends
+with `FAILING_SUFFIX`. An order to load a newer version
 takes `LOAD_DURATION_S`, during which calls are refused.
 
 Faults under `extra`:
@@ -38,6 +39,7 @@
 EVENT_INTERVAL_S = 0.01
 LOAD_DURATION_S = 0.3
 SILENCE_S = 20.0
+FAILING_SUFFIX = "/fails"
 
 
 class Target:
@@ -176,17 +178,17 @@
         if self._loading or self._running >= self._args.slots:
             return json_response({}, 503, (("X-Not-Executed", "1"),))
         after = int(request.headers.get("last-event-id", 0))
-        self._run_records.append(
-            {"id": request.request_id, "after": after, "at": monotonic()}
-        )
+        record = {"id": request.request_id, "after": after, "at": monotonic()}
+        self._run_records.append(record)
         if self._faults.extra("silent"):
             time.sleep(SILENCE_S)
-        stamp = ("X-Server-Stamp", f"s{next(self._stamp_numbers)}")
-        headers: tuple[tuple[str, str], ...] = (stamp,)
-        if self._faults.extra("errors"):
+        stamp = f"{self._args.name}-{next(self._stamp_numbers)}"
+        headers: tuple[tuple[str, str], ...] = (("X-Server-Stamp", stamp),)
+        if self._faults.extra("errors") or path.endswith(FAILING_SUFFIX):
             return json_response({"error": "failed"}, 500, headers)
         tokens = request.headers.get("x-token-count")
         if tokens is None:
+            record["stamp"] = stamp
             return self._plain_response(request, headers)
         headers = (*headers, ("X-Weight-Versions", str(self._version)))
         last = int(tokens.rpartition(",")[2])
@@ -222,6 +224,10 @@
                     version = self._version
                     line = f"x-weight-versions: {version}\n"
                 event = f"{line}id: {number}\ndata: {request_id}-{number}\n\n"
+                if number == last:
+                    self._run_records.append(
+                        {"ended": request_id, "at": monotonic()}
+                    )
                 yield event.encode()
         finally:
             self._running -= 1
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -5,7 +5,7 @@
 import os
 import pathlib
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
 import msgspec
@@ -18,12 +18,20 @@
 from hibiscuspin.settings import Address
 from soak.proxy import Proxy
 
-__all__ = ["HOST", "MODEL", "PlatformFleet", "PlatformInstance"]
+__all__ = [
+    "HOST",
+    "MODEL",
+    "PlatformFleet",
+    "PlatformInstance",
+    "reward_id",
+]
 
 HOST = "h.example"
 MODEL = "m1"
 JOBS_PREFIX = "/jobs/"
 CALLS_PREFIX = "/calls/"
+REWARD_PATH = f"{CALLS_PREFIX}reward"
+FAILING_REWARD_PATH = f"{CALLS_PREFIX}reward/fails"
 GRACE_S = 8
 CALL_TIMEOUT_S = 10.0
 START_TIMEOUT_S = 20.0
@@ -346,7 +354,13 @@
         )
 
     def submit_job(
-        self, name: str, job: str, groups: int, size: int, events: int
+        self,
+        name: str,
+        job: str,
+        groups: int,
+        size: int,
+        events: int,
+        unscorable: Sequence[str] = (),
     ) -> int:
         """Submits a batch job; returns the status of the response.
 
@@ -356,8 +370,9 @@
             groups: Number of groups.
             size: Number of samples per group.
             events: Number of events per sample.
+            unscorable: Ids of the items whose reward call always fails.
         """
-        items = [
+        items: list[dict[str, Any]] = [
             {
                 "id": f"{job}-{group}-{item}",
                 "path": f"{JOBS_PREFIX}x",
@@ -369,6 +384,14 @@
             for group in range(groups)
             for item in range(size)
         ]
+        for row in items:
+            fails = row["id"] in unscorable
+            row["scorer"] = {
+                "id": reward_id(row["id"]),
+                "host": HOST,
+                "path": FAILING_REWARD_PATH if fails else REWARD_PATH,
+                "body": base64.b64encode(b"reward").decode(),
+            }
         body = msgspec.json.encode(
             {
                 "step": 0,
@@ -417,6 +440,11 @@
         return rows
 
 
+def reward_id(item: str) -> str:
+    """Returns the id of an item's reward call."""
+    return f"r-{item}"
+
+
 _JOB_ROUTE = {
     "name": "jobs",
     "host": HOST,
