Exchange loads among job holders instead of with all instances

Cause: a holder asked all instances for their loads, one after the other, each second, and the coordinator told all instances of each weight load, eight at a time.

Change: the coordinator hears of all holders and names them to each (decisions/holders.py); clears and releases go to holders only. Without a coordinator a holder asks all instances as before.

--- a/hibiscuspin/tasks/target_exchange.py
+++ b/hibiscuspin/tasks/target_exchange.py
@@ -6,13 +6,14 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
 import msgspec
 
 from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import holders
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.errors import HibiscusError
 from hibiscuspin.logs import get_logger
@@ -23,6 +24,7 @@
 )
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.instances import Instances
+from hibiscuspin.tasks.job_store import trim_default
 from hibiscuspin.tasks.local_job import LocalJob
 
 __all__ = ["TargetExchange"]
@@ -39,8 +41,8 @@
 LOAD_CALL_TIMEOUT_S = 0.3
 # Shorter than the 0.3 s within which short samples end.
 EXCHANGE_PERIOD_S = 0.2
-# Instances that reported no requests are queried again every so many periods.
-IDLE_PEER_PERIODS = 5
+# While the holders are unknown, all instances are asked every so many periods.
+ASK_ALL_PERIODS = 5
 
 _log = get_logger("targets")
 
@@ -57,10 +59,14 @@
 
 
 class _InstanceLoad(NamedTuple):
-    """The requests that one instance has in flight on each target."""
+    """The requests that one instance has in flight on each target.
+
+    A response also names the holders that the responding instance knows.
+    """
 
     instance: str
     in_flight_by_name: dict[str, int]
+    holders: Sequence[str] = ()
 
 
 class _ReleaseCall(NamedTuple):
@@ -102,7 +108,10 @@
         self._instances = instances
         self._peers = peers
         self._clock = clock
-        self._busy_peers: set[str] = set()
+        # When each instance last reported its load here, or was named as a
+        # holder by the coordinator.
+        self._reported_at_by_name: dict[str, float] = {}
+        self._coordinator_answered_at = float("-inf")
         self._executor = ThreadPoolExecutor(
             MAX_PARALLEL_CALLS, thread_name_prefix="tell"
         )
@@ -122,22 +131,31 @@
             if not self._open_jobs():
                 period = 0
                 continue
-            query_all = period % IDLE_PEER_PERIODS == 0
+            for member in self._members_to_ask(period % ASK_ALL_PERIODS == 0):
+                self.exchange_load(member)
             period += 1
-            coordinator = self._instances.coordinator()
-            for member in self._instances.others():
-                expected_busy = (
-                    member.name in self._busy_peers
-                    or member.name == coordinator
-                )
-                if not query_all and not expected_busy:
-                    continue
-                if self.exchange_load(member):
-                    self._busy_peers.add(member.name)
-                else:
-                    self._busy_peers.discard(member.name)
         self._executor.shutdown()
 
+    def _members_to_ask(self, ask_all: bool) -> list[LiveInstance]:
+        member_by_name = {m.name: m for m in self._instances.others()}
+        coordinator = self._instances.coordinator()
+        is_coordinator = coordinator == self._instances.member.name
+        age_s = self._clock.monotonic() - self._coordinator_answered_at
+        names = holders.instances_to_ask(
+            list(member_by_name),
+            self._active_holders(),
+            coordinator,
+            is_coordinator or age_s <= holders.HOLDER_TTL_S,
+            ask_all,
+        )
+        # The coordinator names holders that are asked in the same period.
+        names.sort(key=lambda name: name != coordinator)
+        return [member_by_name[name] for name in names]
+
+    def _active_holders(self) -> list[str]:
+        now = self._clock.monotonic()
+        return holders.active_holders(self._reported_at_by_name, now)
+
     def clear_samples(
         self, names: list[str], model: str, pause_s: float
     ) -> None:
@@ -169,11 +187,15 @@
     def _notify_others(
         self, method: str, call: bytes, timeout_s: float
     ) -> None:
+        """Notifies all known holders, or all instances if none is known."""
+        names = self._active_holders()
+        others = self._instances.others()
         futures = [
             self._executor.submit(
                 self._peers.call, member.address, method, call, timeout_s
             )
-            for member in self._instances.others()
+            for member in others
+            if not names or member.name in names
         ]
         for future in futures:
             try:
@@ -190,7 +212,7 @@
         Returns:
             Whether the other instance has requests in flight.
         """
-        call = msgspec.msgpack.encode(self._own_load())
+        call = msgspec.msgpack.encode(trim_default(self._own_load()))
         try:
             body = self._peers.call(
                 member.address, LOAD_METHOD, call, LOAD_CALL_TIMEOUT_S
@@ -201,7 +223,13 @@
                 extra={"reason": str(error)},
             )
             return False
-        return bool(self._record_peer_load(body).in_flight_by_name)
+        load = self._record_peer_load(body)
+        now = self._clock.monotonic()
+        if member.name == self._instances.coordinator():
+            self._coordinator_answered_at = now
+            for name in load.holders:
+                self._reported_at_by_name[name] = now
+        return bool(load.in_flight_by_name)
 
     def _own_load(self) -> _InstanceLoad:
         return _InstanceLoad(
@@ -214,8 +242,13 @@
         return load
 
     def _serve_load(self, body: bytes) -> bytes:
-        self._record_peer_load(body)
-        return msgspec.msgpack.encode(self._own_load())
+        known = self._active_holders()
+        load = self._record_peer_load(body)
+        self._reported_at_by_name[load.instance] = self._clock.monotonic()
+        if self._open_jobs():
+            known.append(self._instances.member.name)
+        response = self._own_load()._replace(holders=tuple(known))
+        return msgspec.msgpack.encode(trim_default(response))
 
     def _serve_clear(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_ClearCall)
