Let a few relays a region watch the store for all instances

Cause: each instance watched the configuration and the registrations and read both at its start, so that each change and each start cost a call an instance or more; and in an outage all instances read the list of targets five times a second.

Change: two relays a region watch the store and send what they know to the others, with the list of targets that one of them already sent. Values are sent when they have changed, and at once when the configuration has. An instance that hears nothing within the bound looks itself; during an outage only relays go on trying.

--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -13,6 +13,7 @@
     queueing,
     readers,
     recovery,
+    relays,
     routes,
     samples,
     store_paths,
@@ -511,7 +512,7 @@
 def read_times(context: Any) -> dict[str, float]:
     return {
         name: readers.next_read_at(
-            name, "r", context.readers, context.list_read_at, 2.5
+            relays.rank(name, "r", context.readers), context.list_read_at, 2.5
         )
         for name in context.readers
     }
--- a/features/steps/platform_directory_steps.py
+++ b/features/steps/platform_directory_steps.py
@@ -1,8 +1,13 @@
 """Steps on how the instances of a region share the list of targets."""
 
 import random
+import threading
+import time
+import zlib
+from collections.abc import Mapping
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 
 from features.platform_fakes import (
@@ -13,6 +18,7 @@
     StoreConnection,
 )
 from features.shared_store import FakeClock
+from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.edges.discovery import TargetRecord
 from hibiscuspin.edges.transactions import (
@@ -21,10 +27,17 @@
     Transaction,
 )
 from hibiscuspin.settings import Address
-from hibiscuspin.tasks.directory import LIST_METHOD, TargetDirectory
+from hibiscuspin.tasks.directory import (
+    OUTAGE_METHOD,
+    RELAY_COPIES_METHOD,
+    TargetDirectory,
+)
 from hibiscuspin.tasks.discovered import DiscoveredTargets
+from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
+from hibiscuspin.tasks.relay_feed import RelayFeed
 
 PREFIX = "list/"
+CONFIG_PREFIX = "config/"
 DRAIN_S = 2.5
 
 
@@ -54,6 +67,19 @@
             context.clock,
             lambda record: MemoryTarget(record.name),
         )
+        self.feed = RelayFeed(
+            instances, regions, lambda: DRAIN_S, context.clock
+        )
+        self.config: dict[str, bytes] = {}
+        self.watcher = PrefixWatcher(
+            CONFIG_PREFIX,
+            store,
+            context.clock,
+            random.Random(1),
+            self._set_config,
+            must_look=self.feed.must_look_itself,
+            is_fed=self.feed.is_fed,
+        )
         self.directory = TargetDirectory(
             PREFIX,
             decode,
@@ -63,17 +89,21 @@
             random.Random(1),
             instances,
             peers,
-            regions,
-            lambda: DRAIN_S,
+            self.feed,
+            (self.watcher,),
         )
         context.peers.handlers_by_address[member.address] = {
-            LIST_METHOD: self._receive_list
+            RELAY_COPIES_METHOD: self._receive_list,
+            OUTAGE_METHOD: self.directory.serve_outage,
         }
         self.received_lists: list[bytes] = []
 
     def _receive_list(self, body: bytes) -> bytes:
         self.received_lists.append(body)
-        return self.directory.serve_list(body)
+        return self.directory.serve_copies(body)
+
+    def _set_config(self, values_by_key: Mapping[str, StoredValue]) -> None:
+        self.config = {key: v.value for key, v in values_by_key.items()}
 
     def known_names(self) -> str:
         """Returns the names of the known targets."""
@@ -105,15 +135,15 @@
     context.store.commit(Transaction({}, puts, outdated), 0.0)
 
 
-@given("b does not answer")
-def silence(context: Any) -> None:
-    context.peers.unreachable_addresses.add(context.members["b"].address)
+@given("{name} does not answer")
+def silence(context: Any, name: str) -> None:
+    context.peers.unreachable_addresses.add(context.members[name].address)
 
 
 @when("a reads the list and tells it")
 def read_and_share(context: Any) -> None:
     directory = context.instances["a"].directory
-    directory._share(directory.read())
+    directory.share(directory.read())
 
 
 @when('the store lists targets "{names}" and b reads them')
@@ -125,7 +155,7 @@
 @when("the list that a has read comes to b once more")
 def receive_again(context: Any) -> None:
     instance = context.instances["b"]
-    instance.directory.serve_list(instance.received_lists[0])
+    instance.directory.serve_copies(instance.received_lists[0])
 
 
 @when(
@@ -163,3 +193,127 @@
     next_read_at = context.instances["b"].directory._next_read_at()
     assert least <= next_read_at - now <= most, next_read_at - now
     assert context.instances["c"].directory._next_read_at() <= now
+
+
+@given('the configuration is "{text}"')
+@when('the configuration is "{text}"')
+def set_config(context: Any, text: str) -> None:
+    put = PutOperation(f"{CONFIG_PREFIX}newest", text.encode())
+    context.store.commit(Transaction({}, (put,)), 0.0)
+
+
+@when("the configuration is removed")
+def remove_config(context: Any) -> None:
+    key = f"{CONFIG_PREFIX}newest"
+    context.store.commit(Transaction({}, (), (key,)), 0.0)
+
+
+@when("a has read the configuration")
+def read_config(context: Any) -> None:
+    context.instances["a"].watcher._scan()
+
+
+@when("{name} has read the configuration and tells it")
+def read_config_and_share(context: Any, name: str) -> None:
+    instance = context.instances[name]
+    instance.watcher._scan()
+    instance.directory.share(instance.directory.read())
+
+
+@then('{name} has the configuration "{text}" and knows that it is current')
+def check_config(context: Any, name: str, text: str) -> None:
+    instance = context.instances[name]
+    assert list(instance.config.values()) == [text.encode()], instance.config
+    assert instance.watcher.is_current
+
+
+@then("{name} has no configuration and knows that it is current")
+def check_no_config(context: Any, name: str) -> None:
+    instance = context.instances[name]
+    assert not instance.config and instance.watcher.is_current
+
+
+@then('{name} has the configuration "{text}", which may be old')
+def check_old_config(context: Any, name: str, text: str) -> None:
+    instance = context.instances[name]
+    assert list(instance.config.values()) == [text.encode()], instance.config
+    assert not instance.watcher.is_current
+
+
+@then("{name} has made no call to the store")
+def check_no_call(context: Any, name: str) -> None:
+    assert not context.instances[name].connection.call_count
+
+
+@then("the values were sent to {name} {count:d} time")
+@then("the values were sent to {name} {count:d} times")
+def check_sent(context: Any, name: str, count: int) -> None:
+    bodies = context.instances[name].received_lists
+    decoded = [msgspec.msgpack.decode(zlib.decompress(body)) for body in bodies]
+    sent = sum(copy[-1] is not None for _, copies in decoded for copy in copies)
+    assert sent == count, sent
+
+
+@when("{seconds:g} s go by on the clock")
+def pass_time(context: Any, seconds: float) -> None:
+    context.clock.sleep(seconds)
+
+
+@when("{name} can't reach the store and says so")
+def announce_outage(context: Any, name: str) -> None:
+    context.instances[name].directory._handle_outage("store is out")
+
+
+@then('"{names}" look at the store themselves')
+def check_lookers(context: Any, names: str) -> None:
+    found = [
+        name
+        for name, instance in context.instances.items()
+        if instance.feed.must_look_itself()
+    ]
+    assert found == names.split(), found
+
+
+@then("no more than {count:d} instances read the list now")
+def check_reader_count(context: Any, count: int) -> None:
+    now = context.clock.monotonic()
+    found = [
+        name
+        for name, instance in context.instances.items()
+        if instance.directory._next_read_at() <= now
+    ]
+    assert len(found) <= count, found
+
+
+@given("a runs on the system's clock")
+def run_directory(context: Any) -> None:
+    context.clock = SystemClock()
+    context.instances = {
+        member.name: DirectoryInstance(context, member)
+        for member in context.all_members
+    }
+    context.instances["a"].watcher._scan()
+    context.told = 0
+    stop = threading.Event()
+    thread = threading.Thread(
+        target=context.instances["a"].directory.run, args=(stop,)
+    )
+    thread.start()
+    context.add_cleanup(thread.join)
+    context.add_cleanup(stop.set)
+
+
+@when("a is to tell it at once")
+def request_share(context: Any) -> None:
+    context.instances["a"].directory.request_share()
+
+
+@then("b is told 1 time within {limit:g} s")
+@then("b is told 1 time more within {limit:g} s")
+def check_told(context: Any, limit: float) -> None:
+    lists = context.instances["b"].received_lists
+    context.told += 1
+    ends_at = monotonic() + limit
+    while len(lists) < context.told and monotonic() < ends_at:
+        time.sleep(0.01)
+    assert len(lists) >= context.told, len(lists)
--- a/hibiscuspin/decisions/readers.py
+++ b/hibiscuspin/decisions/readers.py
@@ -6,10 +6,6 @@
 others; if it doesn't, the next instance in order reads it.
 """
 
-from collections.abc import Collection
-
-from hibiscuspin import rendezvous
-
 __all__ = ["lost_age_s", "read_period_s", "next_read_at"]
 
 # A draining target must get no requests after the drain time, so two reads and
@@ -44,22 +40,13 @@
     return read_period_s(drain_s) + TAKEOVER_DELAY_S * MAX_RANK + SLOW_READ_S
 
 
-def next_read_at(
-    instance: str,
-    region: str,
-    names: Collection[str],
-    list_read_at: float,
-    drain_s: float,
-) -> float:
+def next_read_at(rank: int, list_read_at: float, drain_s: float) -> float:
     """Returns when an instance should read the list itself.
 
     Args:
-        instance: The name of the instance.
-        region: Its region.
-        names: The live instances of the region.
+        rank: The instance's rank among those of its region.
         list_read_at: When the instance's current list was read.
         drain_s: How long a draining target still serves requests.
     """
-    order = rendezvous.rank(f"reader {region}", {*names, instance})
-    rank = min(order.index(instance), MAX_RANK)
-    return list_read_at + read_period_s(drain_s) + TAKEOVER_DELAY_S * rank
+    delay_s = TAKEOVER_DELAY_S * min(rank, MAX_RANK)
+    return list_read_at + read_period_s(drain_s) + delay_s
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -21,7 +21,11 @@
 from hibiscuspin.platform.settings import PlatformSettings, read_settings_file
 from hibiscuspin.platform.store import KeyValueStore
 from hibiscuspin.settings import Address, SettingsError
-from hibiscuspin.tasks.directory import LIST_METHOD, TargetDirectory
+from hibiscuspin.tasks.directory import (
+    OUTAGE_METHOD,
+    RELAY_COPIES_METHOD,
+    TargetDirectory,
+)
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.forwarding import Forwarder
 from hibiscuspin.tasks.http_server import HttpServer, ServerLimits
@@ -31,6 +35,7 @@
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.local_job import JobDependencies
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
+from hibiscuspin.tasks.relay_feed import RelayFeed
 from hibiscuspin.tasks.reward_calls import RewardCaller
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.scoring import Scoring
@@ -91,6 +96,12 @@
             settings.takeover_s,
             lambda: bool(self._jobs.open_jobs()),
         )
+        self._feed = RelayFeed(
+            self._instances,
+            settings.region_by_data_centre,
+            lambda: self._settings.drain_s,
+            self._clock,
+        )
         self._targets = DiscoveredTargets(
             settings.data_centre,
             settings.region_by_data_centre,
@@ -141,6 +152,17 @@
             self._clock,
             rng,
             self._on_config,
+            must_look=self._feed.must_look_itself,
+            is_fed=self._feed.is_fed,
+        )
+        self._instances_watcher = PrefixWatcher(
+            LIVE_PREFIX,
+            self._store,
+            self._clock,
+            rng,
+            self._instances.on_values,
+            gap_s=lambda: self._instances.watch_gap_s(self._feed.rank()),
+            must_look=self._feed.must_watch_registrations,
         )
         # Only the coordinator needs weight versions and retirement requests.
         self._operator_watcher = PrefixWatcher(
@@ -160,8 +182,8 @@
             rng,
             self._instances,
             self._peers,
-            settings.region_by_data_centre,
-            lambda: self._settings.drain_s,
+            self._feed,
+            (self._config_watcher, self._instances_watcher),
         )
         self._servers: list[HttpServer] = []
         self._supervisor = Supervisor(
@@ -266,7 +288,8 @@
             **self._jobs.handlers(),
             **self._exchange.handlers(),
             RELAY_METHOD: self._store_path.serve_relay,
-            LIST_METHOD: self._directory.serve_list,
+            RELAY_COPIES_METHOD: self._directory.serve_copies,
+            OUTAGE_METHOD: self._directory.serve_outage,
         }
         tasks: list[Task] = [
             self._add_server(
@@ -277,14 +300,7 @@
             ),
             self._config_watcher,
             self._operator_watcher,
-            PrefixWatcher(
-                LIVE_PREFIX,
-                self._store,
-                self._clock,
-                rng,
-                self._instances.on_values,
-                gap_s=self._instances.watch_gap_s,
-            ),
+            self._instances_watcher,
             self._directory,
             self._instances,
             self._scoring,
@@ -347,6 +363,7 @@
     def _on_config(self, values_by_key: Mapping[str, StoredValue]) -> None:
         table = operators.decode_table(values_by_key)
         if table is not None and self._routes.activate(table):
+            self._directory.request_share()
             limits = table.limits
             server_limits = ServerLimits(
                 limits.header_bytes,
--- a/hibiscuspin/tasks/directory.py
+++ b/hibiscuspin/tasks/directory.py
@@ -1,19 +1,21 @@
-"""Keeps the list of targets current.
+"""Keeps the list of targets and the copies of watched prefixes current.
 
-The list is read from the store by this instance or by another one of the same
-region, which shares it.
+They are read from the store by this instance, or by a relay of the same
+region, which sends them to the others. `decisions/relays.py` and
+`decisions/readers.py` decide who reads.
 """
 
 import random
 import threading
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 import msgspec
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import readers
+from hibiscuspin.decisions import readers, relays
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.discovery import TargetRecord
@@ -27,12 +29,21 @@
 from hibiscuspin.peers.rpc import PeerHttpClient, PeerUnreachableError
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.instances import Instances
+from hibiscuspin.tasks.prefix_watcher import (
+    CopyState,
+    PrefixCopy,
+    PrefixWatcher,
+)
+from hibiscuspin.tasks.relay_feed import RelayFeed
 
-__all__ = ["LIST_METHOD", "TargetDirectory"]
+__all__ = ["OUTAGE_METHOD", "RELAY_COPIES_METHOD", "TargetDirectory"]
 
-LIST_METHOD = "targets.list"
+RELAY_COPIES_METHOD = "relay.copies"
+OUTAGE_METHOD = "relay.outage"
 TICK_S = 0.05
 RETRY_DELAY_S = 0.2
+# While the store is out, a reader tries again this often.
+OUTAGE_RETRY_S = 0.8
 SHARE_TIMEOUT_S = 0.25
 # Enough that instances that don't respond delay the others by no more than a
 # reading period.
@@ -42,8 +53,15 @@
 _log = get_logger("targets")
 
 
+class _RelayedCopies(NamedTuple):
+    """A list of targets and copies of watched prefixes, from a relay."""
+
+    scan: ScanResult
+    copies: tuple[PrefixCopy, ...]
+
+
 class TargetDirectory:
-    """Updates the discovered targets from the store or from a peer."""
+    """Updates targets and watched prefixes from the store or from a relay."""
 
     name = "directory"
 
@@ -57,8 +75,8 @@
         rng: random.Random,
         instances: Instances,
         peers: PeerHttpClient,
-        region_by_data_centre: Mapping[str, str],
-        drain_s: Callable[[], float],
+        feed: RelayFeed,
+        watchers: Sequence[PrefixWatcher] = (),
     ) -> None:
         """Creates the task.
 
@@ -71,9 +89,8 @@
             rng: Adds jitter, so that a fleet's reads spread out.
             instances: The other instances.
             peers: Makes the calls to them.
-            region_by_data_centre: The region of each data centre; instances
-                of one region share the lists that they read.
-            drain_s: Returns how long a draining target still serves.
+            feed: What this instance hears from relays.
+            watchers: The watched prefixes that a region shares.
         """
         self._prefix = prefix
         self._decode = decode
@@ -83,8 +100,8 @@
         self._rng = rng
         self._instances = instances
         self._peers = peers
-        self._region_by_data_centre = region_by_data_centre
-        self._drain_s = drain_s
+        self._feed = feed
+        self._watcher_by_prefix = {w.prefix: w for w in watchers}
         self._executor = ThreadPoolExecutor(
             MAX_PARALLEL_CALLS, thread_name_prefix="list"
         )
@@ -95,42 +112,59 @@
         self._read_at = float("-inf")
         self._reconnected_at = 0.0
         self._invalid_keys: set[str] = set()
+        self._states_by_address: dict[str, dict[str, CopyState]] = {}
+        self._share_requested = threading.Event()
+        # Whether the others were ever sent a copy of each watched prefix.
+        self._shared_all = False
 
     def run(self, stop: threading.Event) -> None:
         """Reads and shares the list when due, until `stop` is set."""
         while not stop.wait(TICK_S * self._rng.uniform(0.8, 1.2)):
             now = self._clock.monotonic()
-            if now < max(self._next_read_at(), self._retry_at):
+            if now < self._next_read_at() or now < self._retry_at:
                 continue
+            self._share_requested.clear()
             try:
                 scan = self.read()
             except StoreError as error:
-                self._retry_at = self._clock.monotonic() + RETRY_DELAY_S
-                _log.debug(
-                    "Target list could not be read from the store.",
-                    extra={"reason": str(error)},
-                )
+                self._handle_outage(str(error))
                 continue
-            self._share(scan)
+            self.share(scan)
         self._executor.shutdown()
 
+    def request_share(self) -> None:
+        """Sends the copies to the region at once if this is a relay.
+
+        All relays do, since the first one may not see a change for seconds.
+        """
+        if self._feed.rank() < relays.RELAYS_PER_REGION:
+            self._share_requested.set()
+
     def _next_read_at(self) -> float:
-        own = self._instances.member
-        names = [
-            member.name
-            for member in self._instances.members().values()
-            if self._shares_region(member)
-        ]
-        region = self._region_by_data_centre.get(own.data_centre, "")
-        return readers.next_read_at(
-            own.name, region, names, self._read_at, self._drain_s()
+        if self._share_requested.is_set():
+            return float("-inf")
+        if not self._shared_all and self._feed.rank() == 0:
+            return self._read_at + RETRY_DELAY_S
+        return self._feed.next_read_at(self._read_at)
+
+    def _handle_outage(self, reason: str) -> None:
+        """Makes the instances that are no relays wait for the store's return.
+
+        One of the relays may be cut off alone, so they all keep trying.
+        """
+        self._retry_at = self._clock.monotonic() + RETRY_DELAY_S
+        _log.debug(
+            "Target list could not be read from the store.",
+            extra={"reason": reason},
         )
+        if self._feed.rank() < relays.RELAYS_PER_REGION:
+            self._retry_at = self._clock.monotonic() + OUTAGE_RETRY_S
+            self._call_region(OUTAGE_METHOD, lambda member: b"")
 
-    def _shares_region(self, member: LiveInstance) -> bool:
-        """Returns whether an instance is in this instance's region."""
-        regions = self._region_by_data_centre
-        own = self._instances.member.data_centre
-        return regions.get(member.data_centre) == regions.get(own)
+    def serve_outage(self, body: bytes) -> bytes:
+        """Handles a relay's notice that it can't reach the store."""
+        self._feed.record_outage()
+        return b""
 
     def read(self) -> ScanResult:
         """Reads the list from the store and applies it.
@@ -150,7 +184,7 @@
                 return
             had_list = self._revision > 0
             self._revision = scan.revision
-            lost_age_s = readers.lost_age_s(self._drain_s())
+            lost_age_s = readers.lost_age_s(self._feed.drain_s())
             if had_list and read_at - self._read_at > lost_age_s:
                 self._reconnected_at = read_at
             self._read_at = read_at
@@ -160,35 +194,98 @@
                 self._reconnected_at,
             )
 
-    def _share(self, scan: ScanResult) -> None:
-        """Sends a list to the other instances of this region."""
-        body = zlib.compress(msgspec.msgpack.encode(scan), level=1)
-        futures = [
-            self._executor.submit(
-                self._peers.call,
-                member.address,
-                LIST_METHOD,
-                body,
-                SHARE_TIMEOUT_S,
+    def share(self, scan: ScanResult) -> None:
+        """Sends a list and the own copies to the others of this region."""
+        copies = [w.copy() for w in self._watcher_by_prefix.values()]
+        current = [copy for copy in copies if copy is not None]
+        self._shared_all |= len(current) == len(copies)
+        body_by_missing: dict[frozenset[str], bytes] = {}
+
+        def body(member: LiveInstance) -> bytes:
+            states = self._states_by_address.get(member.address, {})
+            missing = frozenset(
+                copy.prefix
+                for copy in current
+                if states.get(copy.prefix) != copy.state
             )
+            if missing not in body_by_missing:
+                body_by_missing[missing] = _encode_copies(
+                    scan, current, missing
+                )
+            return body_by_missing[missing]
+
+        responses = self._call_region(RELAY_COPIES_METHOD, body)
+        for address, response in responses.items():
+            self._states_by_address[address] = msgspec.msgpack.decode(
+                response, type=dict[str, CopyState]
+            )
+        behind = [
+            address
+            for address in responses
+            if any(
+                self._states_by_address[address].get(copy.prefix) != copy.state
+                for copy in current
+            )
+        ]
+        if behind:
+            self._call_region(RELAY_COPIES_METHOD, body, behind)
+
+    def _call_region(
+        self,
+        method: str,
+        body: Callable[[LiveInstance], bytes],
+        addresses: Sequence[str] | None = None,
+    ) -> dict[str, bytes]:
+        """Calls the other instances of this region, or some of them.
+
+        Returns:
+            The responses by address.
+        """
+        members = [
+            member
             for member in self._instances.others()
-            if self._shares_region(member)
+            if self._feed.shares_region(member)
             and not self._peers.is_suspect(member.address)
+            and (addresses is None or member.address in addresses)
         ]
-        for future in futures:
+        futures = {
+            member.address: self._executor.submit(
+                self._peers.call,
+                member.address,
+                method,
+                body(member),
+                SHARE_TIMEOUT_S,
+            )
+            for member in members
+        }
+        responses = {}
+        for address, future in futures.items():
             try:
-                future.result()
+                responses[address] = future.result()
             except (PeerUnreachableError, HibiscusError) as error:
+                self._states_by_address.pop(address, None)
                 _log.debug(
-                    "Target list could not be sent to a peer.",
+                    "Copies could not be sent to a peer.",
                     extra={"reason": str(error)},
                 )
+        return responses
 
-    def serve_list(self, body: bytes) -> bytes:
-        """Handles a call with a list that another instance has read."""
-        scan = msgspec.msgpack.decode(zlib.decompress(body), type=ScanResult)
-        self._apply(scan, self._clock.monotonic())
-        return b""
+    def serve_copies(self, body: bytes) -> bytes:
+        """Handles a call with the list and the copies of a relay."""
+        relayed = msgspec.msgpack.decode(
+            zlib.decompress(body), type=_RelayedCopies
+        )
+        self._apply(relayed.scan, self._clock.monotonic())
+        watchers = self._watcher_by_prefix
+        accepted = [
+            copy.prefix
+            for copy in relayed.copies
+            if copy.prefix in watchers and watchers[copy.prefix].accept(copy)
+        ]
+        if len(accepted) == len(watchers):
+            self._feed.record_copies()
+        states = {prefix: w.state for prefix, w in watchers.items()}
+        return msgspec.msgpack.encode(states)
 
     def _decode_entry(self, value: StoredValue) -> TargetRecord | None:
         record = self._decode(value)
@@ -199,3 +296,15 @@
             )
             self._invalid_keys.add(value.key)
         return record
+
+
+def _encode_copies(
+    scan: ScanResult, copies: Sequence[PrefixCopy], missing: frozenset[str]
+) -> bytes:
+    """Encodes a list and copies, with the values of the missing ones only."""
+    sent = tuple(
+        copy if copy.prefix in missing else copy._replace(values=None)
+        for copy in copies
+    )
+    packed = msgspec.msgpack.encode(_RelayedCopies(scan, sent))
+    return zlib.compress(packed, level=1)
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -125,9 +125,27 @@
         duty = self._duty
         return duty.value.decode() if duty is not None else ""
 
-    def watch_gap_s(self) -> float:
-        """Returns how long changes of the live instances may be batched."""
-        fast = self._term is not None or self._rank() < FAST_WATCH_RANKS
+    def is_view_loaded(self) -> bool:
+        """Returns whether any registrations are known."""
+        return bool(self._known_by_name)
+
+    def must_see_losses_soon(self) -> bool:
+        """Returns whether this instance must soon see another one's loss.
+
+        That is the coordinator, and the next in turn for its duty.
+        """
+        if not self._known_by_name:
+            return False
+        return self._term is not None or self._rank() < FAST_WATCH_RANKS
+
+    def watch_gap_s(self, region_rank: int) -> float:
+        """Returns how long changes of the live instances may be batched.
+
+        Args:
+            region_rank: This instance's rank in its region; the first feeds
+                the others.
+        """
+        fast = region_rank == 0 or self.must_see_losses_soon()
         return FAST_WATCH_GAP_S if fast else SLOW_WATCH_GAP_S
 
     def _rank(self) -> int:
@@ -241,10 +259,9 @@
     def _lease_plan(self) -> LeasePlan:
         now = self._clock.monotonic()
         if (
-            self._term is not None
+            self.must_see_losses_soon()
             or self._has_jobs()
             or self._may_take_duty(now)
-            or (self._known_by_name and self._rank() < FAST_WATCH_RANKS)
         ):
             self._prompt_lease_needed_at = now
         return registration.lease_plan(
