Finish takeovers that fail halfway, and take over only jobs with a known route

Cause: a job was first assigned to its new holder in the store, then read. If a read failed, or no route was known, the job named a live holder that did not run it, so nobody else took it either. With the configuration coming from relays, an instance that restarted read its own jobs before its routes: the scenario in which all instances are killed right after an acceptance failed.

Change: contents and route come before the assignment; what fails after it is finished by the same instance later. A restarted instance waits for its routes before it takes its jobs back. Calls to the store are counted by cause.

Result: the scenario passes; two scenarios on takeovers are new.

--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -71,3 +71,4 @@
     When a client with id "trace-1" sends "POST /calls/x" to edge-0
     Then the log of edge-0 has a line on "trace-1" with its target
     And the metrics of edge-0 count the call
+    And the metrics of edge-0 count its calls to the store by cause
--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -193,6 +193,23 @@
     And the coordinator at b sweeps
     Then all results of the job are listed with whole texts of version 1
 
+  Scenario: a takeover that fails halfway is finished once the store is back
+    When a accepts a job of 2 groups of 4 samples with 60 events
+    And a is lost
+    And the store fails as soon as b has taken the job
+    And b finishes its takeovers
+    Then only b holds the job
+    And all results of the job are listed with whole texts of version 1
+
+  Scenario: an instance that knows no route of a job does not take it over
+    When a accepts a job of 2 groups of 4 samples with 200 events
+    And a is lost
+    And b is asked to take the job over without a route
+    Then no instance holds the job
+    When its route is known
+    And the coordinator at b sweeps
+    Then all results of the job are listed with whole texts of version 1
+
   Scenario: an orphaned job goes past instances that are lost but still registered
     When a accepts a job of 2 groups of 4 samples with 200 events
     And a is lost
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -318,3 +318,12 @@
     text = response.body.decode()
     assert 'hibiscuspin_requests_total{code="200",path="call"}' in text, text
     assert 'hibiscuspin_latency_seconds_count{path="call"}' in text, text
+
+
+@then("the metrics of {name} count its calls to the store by cause")
+def check_store_calls(context: Any, name: str) -> None:
+    client = HttpClient(fleet(context).metrics_address(name))
+    response = client.request("GET", "/metrics", monotonic() + 5.0)
+    for cause in ("grant lease", "renew lease", "commit live", "scan live"):
+        text = f'hibiscuspin_store_calls_total{{cause="{cause}",outcome="200"}}'
+        assert text.encode() in response.body, cause
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -120,7 +120,7 @@
 def check_gaps(
     context: Any, near: int, soon: float, far: int, late: float
 ) -> None:
-    gaps = Counter(i.watch_gap_s() for i in context.instances)
+    gaps = Counter(i.watch_gap_s(1) for i in context.instances)
     assert gaps == {soon: near, late: far}, gaps
 
 
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -11,6 +11,7 @@
 from hibiscuspin.clock import monotonic
 from hibiscuspin.decisions import job_order
 from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.edges import StoreError
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.tasks import job_writer
 from hibiscuspin.tasks.job_recovery import JobRecovery
@@ -485,3 +486,52 @@
         assert error.kind is ErrorKind.NOT_FOUND, error
     else:
         raise AssertionError("an ended job still has a body")
+
+
+@when("the store fails as soon as b has taken the job")
+def fail_takeover(context: Any) -> None:
+    memory = context.memory
+    store = memory.store
+    commit = store.commit
+
+    def commit_and_fail(*args: Any) -> Any:
+        outcome = commit(*args)
+        store.down = True
+        return outcome
+
+    with mock.patch.object(store, "commit", commit_and_fail):
+        try:
+            memory.jobs_by_name["b"].adopt(JOB)
+        except StoreError:
+            store.down = False
+            return
+    raise AssertionError("the takeover did not fail")
+
+
+@when("b finishes its takeovers")
+def finish_takeovers(context: Any) -> None:
+    context.memory.jobs_by_name["b"].finish_adoptions()
+
+
+@then("only b holds the job")
+def check_holder_is_b(context: Any) -> None:
+    holders = [
+        name
+        for name, jobs in context.memory.jobs_by_name.items()
+        if JOB in jobs._job_by_id
+    ]
+    assert holders == ["b"], holders
+
+
+@when("b is asked to take the job over without a route")
+def adopt_without_route(context: Any) -> None:
+    memory = context.memory
+    context.known_route, memory.route = memory.route, None
+    assert not memory.jobs_by_name["b"].adopt(JOB)
+    head = memory.jobs_by_name["b"]._store.head(JOB, monotonic() + 1.0)
+    assert head is not None and head.head["holder"] == "a", head
+
+
+@when("its route is known")
+def restore_route(context: Any) -> None:
+    context.memory.route = context.known_route
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -33,6 +33,13 @@
             registry=self._registry,
         )
 
+        self.store_calls = Counter(
+            "hibiscuspin_store_calls",
+            "Calls to the store by cause and outcome; failed ones count too.",
+            ("cause", "outcome"),
+            registry=self._registry,
+        )
+
     def observe(self, path: str, seconds: float) -> None:
         """Records the latency of one request to a path."""
         with self._lock:
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -85,7 +85,11 @@
         )
         self._peers = PeerHttpClient(self._clock)
         self._store_path = StorePath(
-            settings.store_address, self._clock, self._peers, self._relays
+            settings.store_address,
+            self._clock,
+            self._peers,
+            self._relays,
+            self._metrics,
         )
         self._store = KeyValueStore(self._store_path)
         self._instances = Instances(
@@ -311,6 +315,7 @@
                 self._clock,
                 settings.keep_s,
                 first_start=settings.first_start,
+                is_configured=lambda: self._routes.table is not None,
             ),
             self._exchange,
             WeightOrders(
--- a/hibiscuspin/platform/store.py
+++ b/hibiscuspin/platform/store.py
@@ -25,6 +25,8 @@
 __all__ = ["KeyValueStore"]
 
 MS_PER_S = 1000
+# The prefix of all keys that instances write.
+OWN_PREFIX = "hibiscuspin/"
 OK_STATUS = 200
 NOT_FOUND_STATUS = 404
 GONE_STATUS = 410
@@ -39,7 +41,7 @@
 
     def read(self, key: str, deadline: float) -> StoredValue | None:
         """Reads one key."""
-        call = _get_call("kv-key", {"key": key})
+        call = _get_call("kv-key", {"key": key}, "read", key)
         response = self._path.send(call, deadline)
         if response.status == NOT_FOUND_STATUS:
             return None
@@ -51,9 +53,8 @@
         revision = 0
         query = {"prefix": prefix}
         while True:
-            raw = _decode_response(
-                self._path.send(_get_call("kv-range", query), deadline)
-            )
+            call = _get_call("kv-range", query, "scan", prefix)
+            raw = _decode_response(self._path.send(call, deadline))
             page = [_decode_value(item) for item in raw["items"]]
             values += page
             # A watch from the first page's revision also covers changes made
@@ -73,7 +74,7 @@
             "wait_ms": str(int(wait_s * MS_PER_S)),
         }
         response = self._path.send_long_poll(
-            _get_call("kv-watch", query), deadline
+            _get_call("kv-watch", query, "watch", prefix), deadline
         )
         if response.status == GONE_STATUS:
             raise HistoryLostError(
@@ -102,7 +103,10 @@
             ],
             "deletes": list(transaction.deletes),
         }
-        response = self._path.send(_post_call("kv-txn", body), deadline)
+        keys = [*transaction.expected, *(p.key for p in transaction.puts)]
+        key = next(iter((*keys, *transaction.deletes)), "")
+        call = _post_call("kv-txn", body, f"commit {_family(key)}")
+        response = self._path.send(call, deadline)
         if response.status == CONFLICT_STATUS:
             items = msgspec.json.decode(response.body)["items"]
             values = [
@@ -118,14 +122,15 @@
     def grant_lease(self, ttl_s: float, deadline: float) -> LeaseGrant:
         """Creates a lease."""
         body = {"ttl_ms": int(ttl_s * MS_PER_S)}
-        raw = _decode_response(
-            self._path.send(_post_call("kv-lease", body), deadline)
-        )
+        call = _post_call("kv-lease", body, "grant lease")
+        raw = _decode_response(self._path.send(call, deadline))
         return LeaseGrant(int(raw["lease"]), raw["ttl_ms"] / MS_PER_S)
 
     def renew_lease(self, lease: int, deadline: float) -> None:
         """Renews a lease."""
-        call = StoreCall("POST", f"/hibiscuspin/kv-keep/{lease}")
+        call = StoreCall(
+            "POST", f"/hibiscuspin/kv-keep/{lease}", cause="renew lease"
+        )
         response = self._path.send(call, deadline)
         if response.status == NOT_FOUND_STATUS:
             raise LeaseLostError(f"lease {lease} no longer exists", False)
@@ -133,19 +138,30 @@
 
     def revoke_lease(self, lease: int, deadline: float) -> None:
         """Revokes a lease, which deletes its keys."""
-        call = StoreCall("DELETE", f"/hibiscuspin/kv-lease-end/{lease}")
+        call = StoreCall(
+            "DELETE", f"/hibiscuspin/kv-lease-end/{lease}", cause="revoke lease"
+        )
         response = self._path.send(call, deadline)
         if response.status != NOT_FOUND_STATUS:
             _raise_for_status(response)
 
 
-def _get_call(name: str, query: dict[str, str]) -> StoreCall:
+def _get_call(
+    name: str, query: dict[str, str], operation: str, key: str
+) -> StoreCall:
     text = urllib.parse.urlencode(query, safe="/")
-    return StoreCall("GET", f"/hibiscuspin/{name}?{text}")
+    cause = f"{operation} {_family(key)}"
+    return StoreCall("GET", f"/hibiscuspin/{name}?{text}", cause=cause)
+
+
+def _post_call(name: str, body: object, cause: str) -> StoreCall:
+    encoded = msgspec.json.encode(body)
+    return StoreCall("POST", f"/hibiscuspin/{name}", encoded, cause)
 
 
-def _post_call(name: str, body: object) -> StoreCall:
-    return StoreCall("POST", f"/hibiscuspin/{name}", msgspec.json.encode(body))
+def _family(key: str) -> str:
+    """Returns the first part of a key that tells what it is for."""
+    return key.removeprefix(OWN_PREFIX).partition("/")[0]
 
 
 def _raise_for_status(response: StoreResponse) -> None:
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -1,6 +1,7 @@
 """Recovery of the jobs of lost instances, run by the coordinator."""
 
 import threading
+from collections.abc import Callable
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import recovery
@@ -43,6 +44,7 @@
         keep_s: float,
         *,
         first_start: bool = False,
+        is_configured: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates the task.
 
@@ -54,6 +56,7 @@
             keep_s: How long results can be read after a job's submission.
             first_start: Whether this is the instance's first start, so that
                 it can't have jobs to resume.
+            is_configured: Returns whether the routes of jobs are known.
         """
         self._instances = instances
         self._jobs = jobs
@@ -61,6 +64,8 @@
         self._clock = clock
         self._retention_s = keep_s + RETENTION_MARGIN_S
         self._first_start = first_start
+        self._is_configured = is_configured
+        self._finish_at = 0.0
         self._sweep_at = 0.0
         self._orphan_since_by_job: dict[str, float] = {}
         self._observed_terms: frozenset[tuple[str, str]] = frozenset()
@@ -71,6 +76,7 @@
             self._resume_own(stop)
         while not stop.wait(TICK_S):
             now = self._clock.monotonic()
+            self._finish_adoptions(now)
             members = self._instances.members()
             observed = frozenset((m.name, m.term) for m in members.values())
             lost = bool(self._observed_terms - observed)
@@ -90,8 +96,23 @@
                     extra={"reason": str(error)},
                 )
 
+    def _finish_adoptions(self, now: float) -> None:
+        if now < self._finish_at:
+            return
+        try:
+            self._jobs.finish_adoptions()
+        except StoreError as error:
+            self._finish_at = now + RETRY_S
+            _log.info(
+                "Takeover of a job not finished; retrying.",
+                extra={"reason": str(error)},
+            )
+
     def _resume_own(self, stop: threading.Event) -> None:
         while not stop.is_set():
+            if not self._is_configured():
+                stop.wait(TICK_S)
+                continue
             try:
                 self._jobs.resume_own()
                 return
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -112,6 +112,8 @@
             MAX_CONTROL_THREADS, thread_name_prefix="job"
         )
         self._stopping = False
+        # Jobs that the store assigns to this instance but that don't run yet.
+        self._adoptions_to_finish: set[str] = set()
 
     def handlers(self) -> dict[str, PeerCallHandler]:
         """Returns the handlers of calls from other instances, by method."""
@@ -387,25 +389,32 @@
         stored = self._store.head(job, deadline)
         if stored is None or stored.head["ended"] or stored.head["done"]:
             return False
-        member = self._instances.member
-        head: JobHead = {
-            **stored.head,
-            "holder": member.name,
-            "term": member.term,
-        }
-        previous_holder = stored.head["holder"]
-        try:
-            stored = self._store.replace_head(job, stored, head, deadline)
-        except FencedError:
+        contents = self._store.contents(job, stored.head["parts"], deadline)
+        route_and_service = self._dependencies.route_of(contents)
+        if route_and_service is None:
+            _log.info(
+                "Job not taken over: no route for it is known here.",
+                extra={"job": job, "host": contents.host},
+            )
             return False
-        contents = self._store.contents(job, head["parts"], deadline)
+        previous_holder = stored.head["holder"]
+        if not self._is_held_here(stored.head):
+            member = self._instances.member
+            head: JobHead = {
+                **stored.head,
+                "holder": member.name,
+                "term": member.term,
+            }
+            try:
+                stored = self._store.replace_head(job, stored, head, deadline)
+            except FencedError:
+                return False
+        # Until the job runs, nobody else takes it over from this instance.
+        self._adoptions_to_finish.add(job)
         published = self._store.results(job, deadline)
         saved = _merge_samples(
             self._store.load_samples(job, deadline), sent or SavedSamples()
         )
-        route_and_service = self._dependencies.route_of(contents)
-        if route_and_service is None:
-            return False
         local = LocalJob(
             contents,
             stored,
@@ -415,6 +424,7 @@
             saved,
         )
         self._start(local)
+        self._adoptions_to_finish.discard(job)
         _log.info(
             "Job taken over.",
             extra={
@@ -427,6 +437,16 @@
         )
         return True
 
+    def finish_adoptions(self) -> None:
+        """Finishes takeovers that failed after the job was assigned here.
+
+        Raises:
+            StoreError: The store could not be reached.
+        """
+        for job in list(self._adoptions_to_finish):
+            self.adopt(job)
+            self._adoptions_to_finish.discard(job)
+
     def resume_own(self) -> None:
         """Takes over the jobs that this instance held before it restarted.
 
--- a/hibiscuspin/tasks/store_path.py
+++ b/hibiscuspin/tasks/store_path.py
@@ -12,6 +12,7 @@
 from hibiscuspin.edges.http import HttpClient
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.logs import get_logger
+from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerHttpClient, PeerUnreachableError
 from hibiscuspin.settings import Address
 
@@ -27,11 +28,19 @@
 
 
 class StoreCall(NamedTuple):
-    """One call as it is encoded for a relay."""
+    """One call to the store.
+
+    Attributes:
+        method: The HTTP method.
+        target: The path and query.
+        body: The body.
+        cause: What the call does, for the metrics.
+    """
 
     method: str
     target: str
     body: bytes = b""
+    cause: str = "relayed"
 
 
 class StoreResponse(NamedTuple):
@@ -50,10 +59,12 @@
         clock: Clock,
         peers: PeerHttpClient,
         relays: Callable[[], Sequence[str]],
+        metrics: Metrics,
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._relays = relays
+        self._metrics = metrics
         self._lock = threading.Lock()
         self._path = store_paths.DirectPath()
         self._connect(address)
@@ -128,9 +139,11 @@
         except TargetError as error:
             if error.silent:
                 self._client.close_idle()
+            self._count(call, "failed")
             self._record(False, now, str(error))
             applied = None if error.sent else False
             raise StoreError(str(error), applied) from error
+        self._count(call, str(response.status))
         if response.status in REJECTION_STATUSES:
             self._record(False, now, f"status {response.status}")
             raise StoreError(
@@ -160,7 +173,9 @@
             )
         except TargetError as error:
             self._long_poll_client.close_idle()
+            self._count(call, "failed")
             raise StoreError(str(error), False) from error
+        self._count(call, str(response.status))
         if response.status in REJECTION_STATUSES or response.status >= 500:
             raise StoreError(
                 f"store responded with status {response.status}", False
@@ -200,7 +215,7 @@
             body = self._peers.call(
                 address,
                 RELAY_METHOD,
-                msgspec.msgpack.encode(call),
+                msgspec.msgpack.encode((call.method, call.target, call.body)),
                 min(remaining_s, RELAY_TIMEOUT_S),
             )
         except PeerUnreachableError as error:
@@ -213,6 +228,9 @@
             self._path = store_paths.after_relayed_call(self._path)
         return msgspec.msgpack.decode(body, type=StoreResponse)
 
+    def _count(self, call: StoreCall, outcome: str) -> None:
+        self._metrics.store_calls.labels(call.cause, outcome).inc()
+
     def _check_direct_path(self) -> None:
         if self._path.failures:
             raise TargetError(
