Wait until all instances know one another before the fleet's features run

Change: the fleet's start waits until each daemon shows the status of all. Holders verify their jobs' heads each 1.8 s in place of 1.0 s, still well within the 3 s after which an ended job must not start a sample.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -352,6 +352,22 @@
             f"revision {revision} on all instances",
         )
 
+    def wait_joined(self, timeout_s: float = 20.0) -> None:
+        """Waits until each instance knows the status of all others."""
+        names = {instance.name for instance in self.instances}
+        wait_for(
+            lambda: all(
+                self._known_instances(instance) == names
+                for instance in self.instances
+            ),
+            timeout_s,
+            "all instances knowing one another",
+        )
+
+    def _known_instances(self, instance: Instance) -> set[str]:
+        rows = self.admin(instance, "GET", "status")["instances"]
+        return {row["instance"] for row in rows}
+
     def revision_of(self, instance: Instance) -> int:
         """Returns an instance's revision in force; 0 if it can't be read."""
         try:
--- a/features/environment.py
+++ b/features/environment.py
@@ -31,6 +31,7 @@
     fleet.wait_started()
     fleet.publish_instances()
     fleet.wait_configured(fleet.apply(config))
+    fleet.wait_joined()
 
 
 def after_feature(context: Any, feature: Any) -> None:
--- a/hibiscuspin/tasks/job_writer.py
+++ b/hibiscuspin/tasks/job_writer.py
@@ -29,7 +29,7 @@
 __all__ = ["JobWriter", "StoreCallResult", "saved_samples"]
 
 # A holder must notice well within 3 s that the trainer has ended the job.
-VERIFY_PERIOD_S = 1.0
+VERIFY_PERIOD_S = 1.8
 WRITE_TIMEOUT_S = 2.0
 WRITE_RETRY_S = 0.1
 # Generating a shorter sample again takes no longer than reading it back.
