--- a/features/platform_relays.feature
+++ b/features/platform_relays.feature
@@ -85,3 +85,10 @@
     And c can't reach the store and says so
     And a reads the list and tells it
     Then b has the configuration "one" and knows that it is current
+
+  Scenario: an instance that does not respond is suspect for a while
+    Given a client of instances whose peer does not listen
+    When the client calls the peer in vain
+    Then the peer is suspect
+    When 3.1 s go by on the clock
+    Then the peer is not suspect
--- a/features/steps/platform_directory_steps.py
+++ b/features/steps/platform_directory_steps.py
@@ -10,6 +10,7 @@
 import msgspec
 from behave import given, then, when
 
+from bench.fleet import free_address
 from features.platform_fakes import (
     MemoryInstances,
     MemoryPeers,
@@ -26,6 +27,7 @@
     StoredValue,
     Transaction,
 )
+from hibiscuspin.peers.rpc import PeerHttpClient, PeerUnreachableError
 from hibiscuspin.settings import Address
 from hibiscuspin.tasks.directory import (
     OUTAGE_METHOD,
@@ -317,3 +319,28 @@
     while len(lists) < context.told and monotonic() < ends_at:
         time.sleep(0.01)
     assert len(lists) >= context.told, len(lists)
+
+
+@given("a client of instances whose peer does not listen")
+def set_peer_client(context: Any) -> None:
+    context.peer_client = PeerHttpClient(context.clock)
+    context.peer_address = str(free_address())
+
+
+@when("the client calls the peer in vain")
+def call_peer(context: Any) -> None:
+    try:
+        context.peer_client.call(context.peer_address, "m", b"", 1.0)
+    except PeerUnreachableError:
+        return
+    raise AssertionError("the call did not fail")
+
+
+@then("the peer is suspect")
+def check_suspect(context: Any) -> None:
+    assert context.peer_client.is_suspect(context.peer_address)
+
+
+@then("the peer is not suspect")
+def check_not_suspect(context: Any) -> None:
+    assert not context.peer_client.is_suspect(context.peer_address)
