Name the outcomes of scoring attempts, and what an instance lacks

Cause: the outcome of an attempt to score was a text made from another enum's name, and the test for missing values stood twice in the sharing of copies.

Change: an enumeration, and one method. No behaviour changes.

Result: features of relays and reward calls pass.

--- a/hibiscuspin/tasks/directory.py
+++ b/hibiscuspin/tasks/directory.py
@@ -202,12 +202,7 @@
         body_by_missing: dict[frozenset[str], bytes] = {}
 
         def body(member: LiveInstance) -> bytes:
-            states = self._states_by_address.get(member.address, {})
-            missing = frozenset(
-                copy.prefix
-                for copy in current
-                if states.get(copy.prefix) != copy.state
-            )
+            missing = self._missing_prefixes(member.address, current)
             if missing not in body_by_missing:
                 body_by_missing[missing] = _encode_copies(
                     scan, current, missing
@@ -219,17 +214,22 @@
             self._states_by_address[address] = msgspec.msgpack.decode(
                 response, type=dict[str, CopyState]
             )
-        behind = [
-            address
-            for address in responses
-            if any(
-                self._states_by_address[address].get(copy.prefix) != copy.state
-                for copy in current
-            )
-        ]
+        # Some were expected to have values that they don't have.
+        behind = [a for a in responses if self._missing_prefixes(a, current)]
         if behind:
             self._call_region(RELAY_COPIES_METHOD, body, behind)
 
+    def _missing_prefixes(
+        self, address: str, copies: Sequence[PrefixCopy]
+    ) -> frozenset[str]:
+        """Returns the prefixes whose values an instance may not have."""
+        states = self._states_by_address.get(address, {})
+        return frozenset(
+            copy.prefix
+            for copy in copies
+            if states.get(copy.prefix) != copy.state
+        )
+
     def _call_region(
         self,
         method: str,
--- a/hibiscuspin/tasks/scoring.py
+++ b/hibiscuspin/tasks/scoring.py
@@ -4,6 +4,7 @@
 a failed attempt. A sample that waits for its score occupies no thread.
 """
 
+import enum
 import queue
 import threading
 from collections import Counter
@@ -94,6 +95,15 @@
         return None
 
 
+class AttemptOutcome(enum.StrEnum):
+    """The outcome of an attempt to score a sample, in logs and metrics."""
+
+    SCORED = "scored"
+    RETRY = "retry"
+    GIVE_UP = "give_up"
+    CANCELLED = "cancelled"
+
+
 class _AttemptEnd(NamedTuple):
     """The end of an attempt; `error` is None if the sample is scored."""
 
@@ -172,10 +182,10 @@
     def _handle_end(self, end: _AttemptEnd) -> None:
         sample = self._in_flight_by_number.pop(end.number)
         request = sample.request
-        outcome = "scored"
+        outcome = AttemptOutcome.SCORED
         if end.error is not None:
             outcome = self._handle_failure(end.number, sample, end.error)
-        if outcome != RetryAction.RETRY.name.lower():
+        if outcome is not AttemptOutcome.RETRY:
             self._remove()
         now = self._clock.monotonic()
         self._metrics.requests.labels(METRICS_PATH, outcome).inc()
@@ -186,7 +196,7 @@
                 "request_id": request.request_id,
                 "score_id": request.scorer.request_id,
                 "targets": request.scorer.targets,
-                "outcome": outcome,
+                "outcome": str(outcome),
                 "took_s": round(end.took_s, 4),
                 "text_age_s": round(now - sample.queued_at, 4),
                 "failures": sample.attempts.failures,
@@ -197,11 +207,11 @@
 
     def _handle_failure(
         self, number: int, sample: _QueuedSample, error: ScoringError
-    ) -> str:
-        """Queues the sample again or gives it up; returns the outcome."""
+    ) -> AttemptOutcome:
+        """Queues the sample again or gives it up."""
         request = sample.request
         if request.cancelled():
-            return "cancelled"
+            return AttemptOutcome.CANCELLED
         decision = scoring.after_failure(
             sample.attempts,
             request.limits,
@@ -211,9 +221,9 @@
         if decision.action is RetryAction.RETRY:
             sample.retry_at = decision.retry_at
             self._queued_by_number[number] = sample
-        else:
-            request.on_scored(None)
-        return decision.action.name.lower()
+            return AttemptOutcome.RETRY
+        request.on_scored(None)
+        return AttemptOutcome.GIVE_UP
 
     def _remove(self) -> None:
         with self._lock:
