--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -41,15 +41,21 @@
         rows += page
 
 
-@given("instances a, b and c before {count:d} engines of {slots:d} places")
-def start_fleet(context: Any, count: int, slots: int) -> None:
-    context.memory = MemoryFleet(count, slots)
+def start_memory_fleet(
+    context: Any, engines: int, slots: int, scorers: int
+) -> None:
+    context.memory = MemoryFleet(engines, slots, scorers)
     context.recoveries = {}
     context.add_cleanup(context.memory.close)
     for name in "abc":
         context.memory.start(name)
 
 
+@given("instances a, b and c before {count:d} engines of {slots:d} places")
+def start_fleet(context: Any, count: int, slots: int) -> None:
+    start_memory_fleet(context, count, slots, 0)
+
+
 @when(
     "{name} accepts a job of {groups:d} groups of {size:d} samples with "
     "{events:d} events"
--- a/features/steps/reward_calls_steps.py
+++ b/features/steps/reward_calls_steps.py
@@ -9,7 +9,6 @@
 
 from features.platform_fakes import (
     REWARD_ROUTE,
-    MemoryFleet,
     job_contents,
     reward_table,
 )
@@ -18,6 +17,7 @@
     JOB,
     check_complete,
     results,
+    start_memory_fleet,
     wait_for_results,
 )
 from hibiscuspin.clock import monotonic
@@ -30,11 +30,7 @@
     "of {slots:d} slots"
 )
 def start_fleet(context: Any, engines: int, scorers: int, slots: int) -> None:
-    context.memory = MemoryFleet(engines, slots, scorers)
-    context.recoveries = {}
-    context.add_cleanup(context.memory.close)
-    for name in "abc":
-        context.memory.start(name)
+    start_memory_fleet(context, engines, slots, scorers)
 
 
 @when(
