Start a job once when its takeover is asked for twice at once

Cause: a takeover in progress was listed as one to finish, and each instance looks at that list ten times a second, so that a takeover of 0.1 s or more was done twice, and one instance ran two copies of the job.

Change: a job's takeover is marked while it is in progress; only one that failed is listed.

--- a/features/platform_jobs.feature
+++ b/features/platform_jobs.feature
@@ -201,6 +201,13 @@
     Then only b holds the job
     And all results of the job are listed with whole texts of version 1
 
+  Scenario: takeovers of one job at the same time start it once
+    When a accepts a job of 2 groups of 4 samples with 60 events
+    And a is lost
+    And b takes the job over 8 times at once from a store that takes 0.05 s
+    Then b has started the job once
+    And all results of the job are listed with whole texts of version 1
+
   Scenario: an instance that knows no route of a job does not take it over
     When a accepts a job of 2 groups of 4 samples with 200 events
     And a is lost
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 from unittest import mock
 
@@ -16,6 +17,7 @@
 from hibiscuspin.tasks import job_writer
 from hibiscuspin.tasks.job_recovery import JobRecovery
 from hibiscuspin.tasks.job_store import ItemResult, JobStore
+from hibiscuspin.tasks.local_job import LocalJob
 
 JOB = "j1"
 DEADLINE_S = 15.0
@@ -541,3 +543,39 @@
 @when("its route is known")
 def restore_route(context: Any) -> None:
     context.memory.route = context.known_route
+
+
+@when(
+    "b takes the job over {count:d} times at once from a store that takes "
+    "{seconds:g} s"
+)
+def take_over_at_once(context: Any, count: int, seconds: float) -> None:
+    memory = context.memory
+    jobs, store = memory.jobs_by_name["b"], memory.store
+    scan = store.scan
+    context.started_jobs = []
+
+    def slow_scan(*args: Any) -> Any:
+        time.sleep(seconds)
+        return scan(*args)
+
+    def start(job: LocalJob) -> None:
+        context.started_jobs.append(job)
+        start_job(job)
+
+    start_job = jobs._start
+    with (
+        mock.patch.object(store, "scan", slow_scan),
+        mock.patch.object(jobs, "_start", start),
+        ThreadPoolExecutor(count) as executor,
+    ):
+        futures = [executor.submit(jobs.adopt, JOB) for _ in range(count)]
+        for _ in range(5):
+            time.sleep(seconds / 2)
+            jobs.finish_adoptions()
+        assert all(future.result() for future in futures)
+
+
+@then("b has started the job once")
+def check_started_once(context: Any) -> None:
+    assert len(context.started_jobs) == 1, context.started_jobs
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -112,6 +112,8 @@
             MAX_CONTROL_THREADS, thread_name_prefix="job"
         )
         self._stopping = False
+        # Jobs whose takeover is in progress.
+        self._adopting: set[str] = set()
         # Jobs that the store assigns to this instance but that don't run yet.
         self._adoptions_to_finish: set[str] = set()
 
@@ -383,8 +385,19 @@
         Raises:
             StoreError: The store could not be reached.
         """
-        if job in self._job_by_id or self._stopping:
-            return job in self._job_by_id
+        with self._lock:
+            if job in self._job_by_id or self._stopping:
+                return job in self._job_by_id
+            if job in self._adopting:
+                return True
+            self._adopting.add(job)
+        try:
+            return self._adopt(job, sent or SavedSamples())
+        finally:
+            with self._lock:
+                self._adopting.discard(job)
+
+    def _adopt(self, job: str, sent: SavedSamples) -> bool:
         deadline = self._clock.monotonic() + ADOPT_TIMEOUT_S
         stored = self._store.head(job, deadline)
         if stored is None or stored.head["ended"] or stored.head["done"]:
@@ -409,12 +422,14 @@
                 stored = self._store.replace_head(job, stored, head, deadline)
             except FencedError:
                 return False
-        # Until the job runs, nobody else takes it over from this instance.
-        self._adoptions_to_finish.add(job)
-        published = self._store.results(job, deadline)
-        saved = _merge_samples(
-            self._store.load_samples(job, deadline), sent or SavedSamples()
-        )
+        try:
+            published = self._store.results(job, deadline)
+            saved = self._store.load_samples(job, deadline)
+        except StoreError:
+            # Nobody else takes the job over from this live instance.
+            self._adoptions_to_finish.add(job)
+            raise
+        saved = _merge_samples(saved, sent)
         local = LocalJob(
             contents,
             stored,
@@ -424,7 +439,6 @@
             saved,
         )
         self._start(local)
-        self._adoptions_to_finish.discard(job)
         _log.info(
             "Job taken over.",
             extra={
