Drop an unused argument, and cut a reward call's path in one place

Cause: a last reading of the change. The state after a feed took the state before and did not use it; the path of a reward call was cut from its target in the adapter and again where it is sent.

Change: the argument is gone, and RewardRequest gives its path. The adapter looks each route up once a path, not once a path and query. No other behaviour changes.

--- a/hibiscuspin/decisions/relays.py
+++ b/hibiscuspin/decisions/relays.py
@@ -55,11 +55,10 @@
     return FeedState(now, now + START_GRACE_S)
 
 
-def after_feed(state: FeedState, drain_s: float, now: float) -> FeedState:
+def after_feed(drain_s: float, now: float) -> FeedState:
     """Returns the state after a relay has sent current copies.
 
     Args:
-        state: The state before.
         drain_s: How long a draining target still serves requests.
         now: The monotonic time.
     """
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -164,13 +164,12 @@
             HibiscusError: `BAD_FIELD` if one has none, `NOT_CONFIGURED` if
                 the configuration may be out of date.
         """
-        targets = {
-            (item.reward.host, item.reward.target): item.name
+        item_by_route_key = {
+            (item.reward.host, item.reward.path): item.name
             for item in contents.items
             if item.reward is not None
         }
-        for (host, target), item in targets.items():
-            path = target.partition("?")[0]
+        for (host, path), item in item_by_route_key.items():
             try:
                 self._routes.find(host, path, self._routes_current())
             except HibiscusError as error:
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -70,6 +70,11 @@
     target: str
     body: bytes
 
+    @property
+    def path(self) -> str:
+        """The path without the query; it selects the route."""
+        return self.target.partition("?")[0]
+
 
 class JobItem(NamedTuple):
     """The request of one sample.
--- a/hibiscuspin/tasks/relay_feed.py
+++ b/hibiscuspin/tasks/relay_feed.py
@@ -86,7 +86,7 @@
     def record_copies(self) -> None:
         """Records that a relay has sent current copies."""
         now = self._clock.monotonic()
-        self._state = relays.after_feed(self._state, self.drain_s(), now)
+        self._state = relays.after_feed(self.drain_s(), now)
 
     def record_outage(self) -> None:
         """Records that a relay could not reach the store."""
--- a/hibiscuspin/tasks/reward_calls.py
+++ b/hibiscuspin/tasks/reward_calls.py
@@ -57,8 +57,7 @@
         Raises:
             HibiscusError: The table in force has no such route.
         """
-        path = request.target.partition("?")[0]
-        return self.routes.find(request.host, path, current=True)
+        return self.routes.find(request.host, request.path, current=True)
 
 
 class RewardScorer:
