Send a target nothing more once a response says that it is draining

Cause: targets announce in each response that they leave. The list shows it up to a reading period later, or not at all, and was the only source here.

Change: the adapter decodes the header once, for calls, streams, reward calls, state queries and orders, whatever the status, but not for a response that is misdirected. An incarnation that says so gets no new request from this instance: placement leaves it out, an attempt or a sample that waited for a thread checks again before it is sent, and no weights are loaded there. Runs in flight end. Job holders and the instances of the same data centre are told. A new incarnation is used again. The stand-in sends the header.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -40,7 +40,7 @@
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerUnreachableError
 from hibiscuspin.settings import Address
-from hibiscuspin.tasks.discovered import DiscoveredTargets
+from hibiscuspin.tasks.discovered import Connect, DiscoveredTargets
 from hibiscuspin.tasks.forwarding import Forwarder
 from hibiscuspin.tasks.job_store import (
     JobContents,
@@ -216,6 +216,7 @@
         stamps: For each request id, the stamps of its successful responses.
         ended_at: For each request id, when its last event was generated.
         running_count: Runs in flight.
+        says_draining: Whether its responses say that it is draining.
     """
 
     def __init__(self, name: str) -> None:
@@ -229,6 +230,7 @@
         self.stamps: dict[str, list[str]] = {}
         self.ended_at: dict[str, float] = {}
         self.running_count = 0
+        self.says_draining = False
         self.orders: list[WeightOrder] = []
 
     def send(
@@ -342,6 +344,57 @@
         self._target.running_count -= 1
 
 
+class MemoryClient:
+    """One instance's client of a `MemoryTarget`."""
+
+    def __init__(
+        self, target: MemoryTarget, on_draining: Callable[[], None]
+    ) -> None:
+        self._target = target
+        self._on_draining = on_draining
+
+    def send(self, *args: Any, **options: Any) -> ProxiedResponse:
+        """Sends a request; see `MemoryTarget.send`."""
+        self._notify_draining()
+        return self._target.send(*args, **options)
+
+    def open_stream(self, *args: Any) -> "MemoryStream":
+        """Starts a run; see `MemoryTarget.open_stream`."""
+        self._notify_draining()
+        return self._target.open_stream(*args)
+
+    def fetch_state(self, deadline: float) -> TargetState:
+        """Queries the state; see `MemoryTarget.fetch_state`."""
+        self._notify_draining()
+        return self._target.fetch_state(deadline)
+
+    def send_order(self, order: WeightOrder, deadline: float) -> OrderOutcome:
+        """Sends an order; see `MemoryTarget.send_order`."""
+        self._notify_draining()
+        return self._target.send_order(order, deadline)
+
+    def _notify_draining(self) -> None:
+        if self._target.says_draining:
+            self._on_draining()
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+def connect_to(target_by_name: Mapping[str, MemoryTarget]) -> Connect:
+    """Returns a function that creates the clients of one instance."""
+    return lambda record, on_draining: MemoryClient(
+        target_by_name[record.name], on_draining
+    )
+
+
+def connect_to_new(
+    record: TargetRecord, on_draining: Callable[[], None]
+) -> MemoryClient:
+    """Creates a client of a target that no test looks at."""
+    return MemoryClient(MemoryTarget(record.name), on_draining)
+
+
 class MemoryInstances:
     """One instance's view of the live instances."""
 
@@ -498,9 +551,7 @@
             "dc",
             {"dc": "r"},
             self.clock,
-            lambda record: {**self.target_by_name, **self.scorer_by_name}[
-                record.name
-            ],
+            connect_to({**self.target_by_name, **self.scorer_by_name}),
         )
         targets.replace(self.records(), 0.0)
         connection = StoreConnection(self.store)
--- a/features/platform_fleet.feature
+++ b/features/platform_fleet.feature
@@ -62,6 +62,13 @@
     Then it gets no call from 2 s later on
     And all instances serve "/calls/" within 1 s
 
+  Scenario: a target that reports only in its responses gets no more calls
+    Given a further target p-2
+    When the responses of target p-2 say that it is draining
+    And each instance gets a response of target p-2
+    Then target p-2 gets no more calls
+    And all instances serve "/calls/" within 1 s
+
   Scenario: settings that change are reloaded without a cut
     When the settings file of edge-0 changes
     Then its log shows the reload within 5 s
--- a/features/steps/holders_steps.py
+++ b/features/steps/holders_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.platform_fakes import MemoryPeers, MemoryTarget, job_contents
+from features.platform_fakes import MemoryPeers, connect_to_new, job_contents
 from features.shared_store import FakeClock
 from hibiscuspin.decisions import holders
 from hibiscuspin.decisions.recovery import LiveInstance
@@ -101,7 +101,7 @@
     context.targets_by_name = {}
     for member in members:
         targets = DiscoveredTargets(
-            "dc", {"dc": "r"}, context.clock, lambda r: MemoryTarget(r.name)
+            "dc", {"dc": "r"}, context.clock, connect_to_new
         )
         record = TargetRecord(
             "t", 1, "llm", Address("127.0.0.1", 1), "dc", 90, False, {"m": 1}
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -8,7 +8,12 @@
 
 from behave import given, then, when
 
-from features.platform_fakes import SERVICE, MemoryFleet, MemoryTarget
+from features.platform_fakes import (
+    SERVICE,
+    MemoryFleet,
+    MemoryTarget,
+    connect_to,
+)
 from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.decisions.routes import CallKind, ForwardRoute
 from hibiscuspin.edges import TargetError
@@ -47,7 +52,7 @@
         target.event_s = RESPONSE_S
         context.target_by_name[target.name] = target
     context.targets = DiscoveredTargets(
-        "dc", {"dc": "r"}, clock, lambda r: context.target_by_name[r.name]
+        "dc", {"dc": "r"}, clock, connect_to(context.target_by_name)
     )
     context.targets.replace(context.fleet_fakes.records(), LONG_AGO_S)
     context.forwarder = Forwarder(context.targets, clock)
@@ -83,7 +88,7 @@
         "dc",
         {"dc": "r"},
         SystemClock(),
-        lambda record: context.target_by_name[record.name],
+        connect_to(context.target_by_name),
     )
     context.forwarder = Forwarder(context.targets, SystemClock())
     records = context.fleet_fakes.records()
--- a/features/steps/platform_directory_steps.py
+++ b/features/steps/platform_directory_steps.py
@@ -15,8 +15,8 @@
     MemoryInstances,
     MemoryPeers,
     MemoryStore,
-    MemoryTarget,
     StoreConnection,
+    connect_to_new,
 )
 from features.shared_store import FakeClock
 from hibiscuspin.clock import SystemClock, monotonic
@@ -67,7 +67,7 @@
             member.data_centre,
             regions,
             context.clock,
-            lambda record: MemoryTarget(record.name),
+            connect_to_new,
         )
         self.feed = RelayFeed(
             instances, regions, lambda: DRAIN_S, context.clock
--- a/features/steps/platform_fleet_steps.py
+++ b/features/steps/platform_fleet_steps.py
@@ -4,11 +4,13 @@
 import threading
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 import msgspec
 import yaml
-from behave import then, when
+from behave import given, then, when
 
 from bench.fleet import wait_for
 from hibiscuspin.clock import monotonic
@@ -17,6 +19,7 @@
 from standins.platform_fleet import MODEL, PlatformFleet
 
 READ_TIMEOUT_S = 20.0
+CALLS_AT_ONCE = 12
 
 
 def fleet(context: Any) -> PlatformFleet:
@@ -270,6 +273,54 @@
     assert len(platform.target_records("p-0")) == before
 
 
+@given("a further target {name}")
+def start_target(context: Any, name: str) -> None:
+    platform = fleet(context)
+    platform.start_target(name, "app", "")
+    for edge in platform.instance_by_name:
+        check = partial(has_logged, context, edge, "Target discovered.", name)
+        wait_for(check, READ_TIMEOUT_S, f"discovery of {name} by {edge}")
+
+
+@when("the responses of target {name} say that it is draining")
+def say_draining(context: Any, name: str) -> None:
+    fleet(context).set_faults(name, extra={"draining": 1})
+
+
+@when("each instance gets a response of target {name}")
+def call_until_answered(context: Any, name: str) -> None:
+    for edge in fleet(context).instance_by_name:
+        check = partial(hears_draining, context, edge, name)
+        wait_for(check, 5.0, f"response of {name} at {edge}")
+
+
+def hears_draining(context: Any, edge: str, name: str) -> bool:
+    # Calls that come together are spread over all targets.
+    with ThreadPoolExecutor(CALLS_AT_ONCE) as executor:
+        for _ in range(CALLS_AT_ONCE):
+            executor.submit(fleet(context).call, edge, "POST", "/calls/x", "l")
+    text = "Target says that it is draining."
+    return has_logged(context, edge, text, name)
+
+
+def has_logged(context: Any, edge: str, text: str, target: str) -> bool:
+    return any(
+        text in line["message"] and line.get("target") == target
+        for line in log_lines(context, edge)
+    )
+
+
+@then("target {name} gets no more calls")
+def check_no_calls(context: Any, name: str) -> None:
+    platform = fleet(context)
+    before = len(platform.target_records(name))
+    for number in range(20):
+        edge = f"edge-{number % 2}"
+        platform.call(edge, "POST", "/calls/x", "l")
+    assert len(platform.target_records(name)) == before
+    platform.set_faults(name)
+
+
 @when("the settings file of {name} changes")
 def change_settings(context: Any, name: str) -> None:
     path = fleet(context).instance_by_name[name].boot_path
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -6,7 +6,7 @@
 import secrets
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 
 from hibiscuspin.clock import Clock, SystemClock
@@ -362,8 +362,10 @@
         """Returns instances that may relay store calls; suspects come last."""
         return sorted(self._instances.relays(), key=self._peers.is_suspect)
 
-    def _create_client(self, record: TargetRecord) -> engines.EngineClient:
-        return engines.EngineClient(record, self._clock)
+    def _create_client(
+        self, record: TargetRecord, on_draining: Callable[[], None]
+    ) -> engines.EngineClient:
+        return engines.EngineClient(record, self._clock, on_draining)
 
     def _on_config(self, values_by_key: Mapping[str, StoredValue]) -> None:
         table = operators.decode_table(values_by_key)
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -91,9 +91,23 @@
 class EngineClient:
     """A `TargetClient` over HTTP."""
 
-    def __init__(self, record: TargetRecord, clock: Clock) -> None:
+    def __init__(
+        self,
+        record: TargetRecord,
+        clock: Clock,
+        on_draining: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates the client.
+
+        Args:
+            record: The target's registration.
+            clock: The time source.
+            on_draining: Called for each response that says that the target
+                is draining.
+        """
         self._name = record.name
         self._clock = clock
+        self._on_draining = on_draining
         self._client = HttpClient(record.address, clock)
 
     def send(
@@ -168,7 +182,7 @@
             words.EXPECTED_TARGET_HEADER: self._name,
             words.DEADLINE_MS_HEADER: str(max(1, int(remaining_s * MS_PER_S))),
         }
-        return self._client.open(
+        stream = self._client.open(
             request.method,
             request.target,
             deadline,
@@ -178,6 +192,16 @@
             check=check,
             fresh=fresh,
         )
+        self._check_draining(stream)
+        return stream
+
+    def _check_draining(self, response: HttpStream | HttpResponse) -> None:
+        # A misdirected response is about another target.
+        if response.status == MISDIRECTED_STATUS:
+            return
+        value = response.headers.get(words.LEAVING_HEADER, "")
+        if value.strip() == words.LEAVING_VALUE:
+            self._on_draining()
 
     def _check_response(
         self, request: ProxiedRequest, stream: HttpStream, body: bytes
@@ -226,6 +250,7 @@
             deadline,
             headers={words.EXPECTED_TARGET_HEADER: self._name},
         )
+        self._check_draining(response)
         raw = _decode_body(response)
         try:
             return TargetState(
@@ -264,6 +289,7 @@
                 "Content-Type": words.JSON_CONTENT_TYPE,
             },
         )
+        self._check_draining(response)
         detail = (
             f"{response.status} {response.body[:120].decode(errors='replace')}"
         )
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -11,6 +11,8 @@
     "EXPECTED_TARGET_HEADER",
     "KIND_BY_ROUTE_TYPE",
     "LAST_EVENT_ID_HEADER",
+    "LEAVING_HEADER",
+    "LEAVING_VALUE",
     "MODEL_HEADER",
     "NOT_EXECUTED_HEADER",
     "OUTPUT_TOKENS_HINT_HEADER",
@@ -52,6 +54,9 @@
 # Marks a response as produced by the target itself.
 TARGET_STAMP_HEADER = "X-Server-Stamp"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
+# In every response of a target that is draining.
+LEAVING_HEADER = "Server-Leaving"
+LEAVING_VALUE = "1"
 MODEL_HEADER = "X-Model"
 # Two numbers, not one: "PROMPT_TOKENS,MAX_OUTPUT_TOKENS".
 TOKEN_COUNTS_HEADER = "X-Token-Count"
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -1,5 +1,6 @@
 """Discovered targets, with this instance's measurements of each."""
 
+import functools
 import threading
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
@@ -12,7 +13,7 @@
 from hibiscuspin.edges.discovery import TargetClient, TargetRecord
 from hibiscuspin.logs import get_logger
 
-__all__ = ["DiscoveredTargets", "DiscoveredTarget"]
+__all__ = ["Connect", "DiscoveredTargets", "DiscoveredTarget", "Incarnation"]
 
 # A target that refused a request has a free slot again after one short
 # response.
@@ -29,9 +30,25 @@
 SAME_REGION_LINK_S = 0.004
 OTHER_REGION_LINK_S = 0.02
 
+# Creates the client of a target; the client calls the second argument for each
+# response that says that the target is draining.
+Connect = Callable[[TargetRecord, Callable[[], None]], TargetClient]
+
 _log = get_logger("targets")
 
 
+class Incarnation(NamedTuple):
+    """One incarnation of a target.
+
+    Attributes:
+        name: The target's name.
+        born_ms: When the incarnation started, by the target's own clock.
+    """
+
+    name: str
+    born_ms: int
+
+
 class _PeerLoad(NamedTuple):
     """Another instance's requests in flight, and when the report expires."""
 
@@ -47,12 +64,15 @@
         client: The client for it.
         gone: Whether it has left the list, was replaced by a newer
             incarnation, or its address now belongs to another target.
+        says_draining: Whether one of its responses said that it is draining.
+            The list may show that later, or not at all.
     """
 
     def __init__(self, record: TargetRecord, client: TargetClient) -> None:
         self.record = record
         self.client = client
         self.gone = False
+        self.says_draining = False
         self.in_flight = 0
         self.health = ejection.Health()
         self.backoff_until = 0.0
@@ -66,6 +86,25 @@
         """The target's name."""
         return self.record.name
 
+    @property
+    def accepts_work(self) -> bool:
+        """Whether it may get new requests."""
+        return not (self.gone or self.record.draining or self.says_draining)
+
+    def check_accepts_work(self) -> None:
+        """Checks again right before a request is sent.
+
+        Raises:
+            TargetError: The target began to drain while the request waited
+                for a thread.
+        """
+        if not self.accepts_work:
+            raise TargetError(
+                f"target {self.name} is draining or gone",
+                sent=False,
+                refused=True,
+            )
+
     def version(self, model: str) -> int:
         """Returns the last known version of a model that it serves, or 0."""
         registered = self.record.version_by_model.get(model, 0)
@@ -80,7 +119,7 @@
         data_centre: str,
         region_by_data_centre: Mapping[str, str],
         clock: Clock,
-        connect: Callable[[TargetRecord], TargetClient],
+        connect: Connect,
     ) -> None:
         self._data_centre = data_centre
         self._region_by_data_centre = region_by_data_centre
@@ -89,6 +128,11 @@
         self._lock = threading.Lock()
         self._targets_by_name: dict[str, DiscoveredTarget] = {}
         self._load_by_instance: dict[str, _PeerLoad] = {}
+        # Incarnations that peers reported before the list showed them.
+        self._draining_by_name: dict[str, Incarnation] = {}
+        # Called once for each incarnation whose response says that it is
+        # draining.
+        self.on_draining: Callable[[Incarnation], None] = lambda target: None
         self.list_received = False
         self.list_received_at = 0.0
 
@@ -123,6 +167,11 @@
                 )
             for record in records_by_name.values():
                 self._upsert(record)
+            self._draining_by_name = {
+                name: target
+                for name, target in self._draining_by_name.items()
+                if name in records_by_name
+            }
 
     def _upsert(self, record: TargetRecord) -> None:
         known = self._targets_by_name.get(record.name)
@@ -142,7 +191,14 @@
         if known is not None:
             known.gone = True
             known.client.close()
-        target = DiscoveredTarget(record, self._connect(record))
+        incarnation = Incarnation(record.name, record.born_ms)
+        client = self._connect(
+            record, functools.partial(self._report_draining, incarnation)
+        )
+        target = DiscoveredTarget(record, client)
+        target.says_draining = (
+            self._draining_by_name.get(record.name) == incarnation
+        )
         self._targets_by_name[record.name] = target
         _log.info(
             "Target discovered.",
@@ -157,9 +213,34 @@
     def get(self, name: str) -> DiscoveredTarget | None:
         """Returns a target if it accepts new work, else None."""
         target = self._targets_by_name.get(name)
-        if target is None or target.gone or target.record.draining:
-            return None
-        return target
+        return target if target is not None and target.accepts_work else None
+
+    def _report_draining(self, incarnation: Incarnation) -> None:
+        if self.record_draining(incarnation):
+            self.on_draining(incarnation)
+
+    def record_draining(self, incarnation: Incarnation) -> bool:
+        """Records that a response said that a target is draining.
+
+        Returns:
+            Whether that is new.
+        """
+        name = incarnation.name
+        with self._lock:
+            if self._draining_by_name.get(name) == incarnation:
+                return False
+            self._draining_by_name[name] = incarnation
+            target = self._targets_by_name.get(name)
+            if (
+                target is not None
+                and target.record.born_ms == incarnation.born_ms
+            ):
+                target.says_draining = True
+        _log.info(
+            "Target says that it is draining.",
+            extra={"target": name, "born_ms": incarnation.born_ms},
+        )
+        return True
 
     def of_service(self, service: str) -> list[DiscoveredTarget]:
         """Returns the targets of a service that accept new work."""
@@ -167,9 +248,7 @@
             return [
                 target
                 for target in self._targets_by_name.values()
-                if target.record.service == service
-                and not target.record.draining
-                and not target.gone
+                if target.record.service == service and target.accepts_work
             ]
 
     def all(self) -> list[DiscoveredTarget]:
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -285,6 +285,7 @@
         response = None
         error = None
         try:
+            target.check_accepts_work()
             response = target.client.send(
                 self._call.request,
                 self._deadline,
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -162,6 +162,7 @@
     def _run(self) -> RunOutcome:
         sample = self.sample
         limits = self._limits
+        self.target.check_accepts_work()
         version = self.target.version(limits.model)
         sample.events = reusable_events(
             sample.events, limits.oldest_version, version, limits.single_version
--- a/hibiscuspin/tasks/target_exchange.py
+++ b/hibiscuspin/tasks/target_exchange.py
@@ -1,8 +1,9 @@
-"""Exchanges target loads and weight-load notices between instances.
+"""Exchanges target loads, and notices on targets, between instances.
 
 Load patterns: two steps of a trainer overlap on different instances, each of
 which would fill all engines if it counted only its own requests; and an engine
-that is about to load weights is running samples of several instances.
+that is about to load weights is running samples of several instances. A target
+that is draining says so in its responses, seconds before the list shows it.
 """
 
 import threading
@@ -22,7 +23,7 @@
     PeerHttpClient,
     PeerUnreachableError,
 )
-from hibiscuspin.tasks.discovered import DiscoveredTargets
+from hibiscuspin.tasks.discovered import DiscoveredTargets, Incarnation
 from hibiscuspin.tasks.instances import Instances
 from hibiscuspin.tasks.job_store import trim_default
 from hibiscuspin.tasks.local_job import LocalJob
@@ -30,6 +31,7 @@
 __all__ = ["TargetExchange"]
 
 CLEAR_METHOD = "targets.clear"
+DRAINING_METHOD = "targets.draining"
 LOAD_METHOD = "targets.load"
 RELEASE_METHOD = "targets.release"
 
@@ -39,6 +41,7 @@
 CLEAR_CALL_TIMEOUT_S = 0.5
 RELEASE_CALL_TIMEOUT_S = 0.8
 LOAD_CALL_TIMEOUT_S = 0.3
+DRAINING_CALL_TIMEOUT_S = 0.5
 # Shorter than the 0.3 s within which short samples end.
 EXCHANGE_PERIOD_S = 0.2
 # While the holders are unknown, all instances are asked every so many periods.
@@ -115,11 +118,13 @@
         self._executor = ThreadPoolExecutor(
             MAX_PARALLEL_CALLS, thread_name_prefix="tell"
         )
+        targets.on_draining = self.report_draining
 
     def handlers(self) -> dict[str, PeerCallHandler]:
         """Returns the handlers of calls from other instances, by method."""
         return {
             CLEAR_METHOD: self._serve_clear,
+            DRAINING_METHOD: self._serve_draining,
             LOAD_METHOD: self._serve_load,
             RELEASE_METHOD: self._serve_release,
         }
@@ -206,6 +211,37 @@
                     extra={"reason": str(error)},
                 )
 
+    def report_draining(self, target: Incarnation) -> None:
+        """Notifies others that a target's response said it is draining.
+
+        These are the job holders, which send the most requests, and the
+        instances of this data centre; the rest hear it from the target itself
+        or from the list. Returns at once.
+        """
+        names = self._active_holders()
+        body = msgspec.msgpack.encode(target)
+        for member in self._instances.others():
+            if (
+                member.name in names
+                or member.data_centre == self._instances.member.data_centre
+            ):
+                try:
+                    self._executor.submit(self._send_draining, member, body)
+                except RuntimeError:
+                    _log.debug("Peers not notified: the instance is stopping.")
+                    return
+
+    def _send_draining(self, member: LiveInstance, body: bytes) -> None:
+        try:
+            self._peers.call(
+                member.address, DRAINING_METHOD, body, DRAINING_CALL_TIMEOUT_S
+            )
+        except (PeerUnreachableError, HibiscusError) as error:
+            _log.info(
+                "Peer could not be notified of a draining target.",
+                extra={"instance": member.name, "reason": str(error)},
+            )
+
     def exchange_load(self, member: LiveInstance) -> bool:
         """Sends this instance's load to another one and records the other's.
 
@@ -259,6 +295,11 @@
                 job.stop_runs_on_targets(call.names, now + MOVE_TIMEOUT_S)
         return b""
 
+    def _serve_draining(self, body: bytes) -> bytes:
+        target = msgspec.msgpack.decode(body, type=Incarnation)
+        self._targets.record_draining(target)
+        return b""
+
     def _serve_release(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_ReleaseCall)
         self._targets.resume(call.name, call.model, call.version)
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -102,9 +102,7 @@
         engines = {
             target.name: target
             for target in self._targets.all()
-            if target.record.version_by_model
-            and not target.gone
-            and not target.record.draining
+            if target.record.version_by_model and target.accepts_work
         }
         in_flight_by_name = self._targets.total_in_flight_by_name()
         assigned = self._assign_engines(desired_by_model, engines)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -6,7 +6,10 @@
 with `FAILING_SUFFIX`. An order to load a newer version
 takes `LOAD_DURATION_S`, during which calls are refused.
 
+A target that is draining says so in its entry and in all its responses.
+
 Faults under `extra`:
+    draining: Its responses say that it is draining, its entry does not.
     silent: Delays each call by `SILENCE_S`.
     errors: Calls are answered with 500.
     break_at: Breaks each stream off after this many events.
@@ -20,7 +23,7 @@
 import json
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import msgspec
@@ -61,13 +64,41 @@
     def routes(self) -> tuple[Route, ...]:
         """Returns the routes of the target's HTTP interface."""
         return (
-            Route("GET", "/hibiscuspin/report", self._show_report, query=None),
-            Route("POST", "/hibiscuspin/order", self._accept_order),
+            Route(
+                "GET",
+                "/hibiscuspin/report",
+                self._saying_draining(self._show_report),
+                query=None,
+            ),
+            Route(
+                "POST",
+                "/hibiscuspin/order",
+                self._saying_draining(self._accept_order),
+            ),
             Route("GET", "/runs", self._list_runs),
             Route("POST", "/drain", self._drain),
-            Route("ANY", "/{path}", self._run_call, query=None),
+            Route(
+                "ANY",
+                "/{path}",
+                self._saying_draining(self._run_call),
+                query=None,
+            ),
         )
 
+    def _saying_draining(
+        self, handler: Callable[..., Response]
+    ) -> Callable[..., Response]:
+        """Adds the header of a draining target to a handler's responses."""
+
+        def handle(request: Request, **values: str) -> Response:
+            response = handler(request, **values)
+            if self._draining or self._faults.extra("draining"):
+                headers = (*response.headers, ("Server-Leaving", "1"))
+                return response._replace(headers=headers)
+            return response
+
+        return handle
+
     def _entry(self) -> dict[str, Any]:
         args = self._args
         state = "draining" if self._draining else "ready"
