--- a/hibiscuspin/tasks/job_writer.py
+++ b/hibiscuspin/tasks/job_writer.py
@@ -268,6 +268,9 @@
                     "job": self._job,
                     "first": chunk.first,
                     "results": len(chunk.results),
+                    "complete_groups": self._count_complete_groups(
+                        self._unpublished_by_group
+                    ),
                     "revision": stored.revision,
                 },
             )
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -161,6 +161,9 @@
             "Job accepted.",
             extra={
                 "job": contents.job,
+                "model": contents.model,
+                "oldest_version": contents.oldest_version,
+                "required_groups": contents.required_groups,
                 "items": len(contents.items),
                 "holder": stored.head["holder"],
                 "revision": stored.revision,
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -281,22 +281,27 @@
         )
         if outcome is not RunOutcome.WHOLE:
             sample.avoided_targets = {run.target.name}
+        now = self._clock.monotonic()
+        first_event_at = run.first_event_at or now
         _log.info(
             "Run of a sample ended.",
             extra={
                 "job": self.contents.job,
                 "request_id": sample.item.name,
+                "group": sample.item.group,
                 "target": run.target.name,
                 "end": outcome.name,
                 "events": len(sample.events),
                 "versions": sample.versions,
                 "next": next_action.name,
+                "took_s": round(now - run.created_at, 3),
+                "first_event_s": round(first_event_at - run.created_at, 3),
                 "reason": run.detail,
             },
         )
         if next_action is NextAction.LIST:
             sample.complete = True
-            sample.completed_at = self._clock.monotonic()
+            sample.completed_at = now
         elif next_action is NextAction.GIVE_UP:
             self._give_up_sample(sample)
 
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -130,6 +130,8 @@
         move_requested: Set to end the run, so that the sample continues on
             another target.
         detail: Why the run failed, for the log.
+        created_at: When it was created, in monotonic time.
+        first_event_at: When its first event was read; None before that.
     """
 
     def __init__(
@@ -147,6 +149,8 @@
         self._limits = limits
         self._clock = clock
         self.detail = ""
+        self.created_at = clock.monotonic()
+        self.first_event_at: float | None = None
 
     def run(self) -> RunOutcome:
         """Appends events to the sample until the run ends."""
@@ -215,6 +219,8 @@
                 if not self._append_event(event):
                     return RunOutcome.OUTDATED
             count = len(sample_events) - timing_start_count
+            if self.first_event_at is None:
+                self.first_event_at = now
             if not timing_started_at:
                 timing_started_at, timing_start_count, stall_s = (
                     now,
