Compare trees by the times of steps as well

Change: bench/steps.py reads steps from a play's log; the tables of pairs and of plays also give the groups that were published on time and the mean time until a trainer ended its step.

--- a/bench/paired.py
+++ b/bench/paired.py
@@ -12,7 +12,7 @@
 import pathlib
 import statistics
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from bench.plays import Play, PlayResult, play_all
@@ -73,12 +73,21 @@
             f"| {first.play.day} | {first.play.seed} | {first.worth:.3f} | "
             f"{second.worth:.3f} | {first.entry} {second.entry} {broken} |"
         )
-    found = difference([p.worth for p in before], [p.worth for p in after])
-    verdict = "seen" if found.is_clear else "not seen"
-    lines.append(
-        f"mean difference {found.mean:+.4f}, standard error "
-        f"{found.standard_error:.4f}, {found.pairs} pairs: {verdict}"
-    )
+    value_by_name: dict[str, Callable[[PlayResult], float]] = {
+        "worth": lambda played: played.worth,
+        "groups on time": lambda played: played.steps.groups_on_time,
+        "seconds a step": lambda played: played.steps.mean_s,
+    }
+    for name, value in value_by_name.items():
+        found = difference(
+            [value(played) for played in before],
+            [value(played) for played in after],
+        )
+        verdict = "seen" if found.is_clear else "not seen"
+        lines.append(
+            f"{name}: mean difference {found.mean:+.4f}, standard error "
+            f"{found.standard_error:.4f}, {found.pairs} pairs: {verdict}"
+        )
     return lines
 
 
@@ -108,10 +117,16 @@
     for result in results:
         print(
             f"{result.play.day} {result.play.seed} {result.worth:.3f} "
+            f"{result.steps.groups_on_time} {result.steps.mean_s:.2f} s "
             f"{result.entry} {dict(result.broken_rules) or ''}"
         )
     mean = statistics.fmean(result.worth for result in results)
-    print(f"mean {mean:.4f} of {len(results)} plays")
+    mean_s = statistics.fmean(result.steps.mean_s for result in results)
+    groups = statistics.fmean(r.steps.groups_on_time for r in results)
+    print(
+        f"mean {mean:.4f} of {len(results)} plays; {groups:.1f} groups on "
+        f"time a play, {mean_s:.2f} s a step"
+    )
 
 
 def main() -> None:
--- a/bench/plays.py
+++ b/bench/plays.py
@@ -6,6 +6,7 @@
 """
 
 import pathlib
+import statistics
 import subprocess
 import uuid
 from collections.abc import Mapping, Sequence
@@ -14,10 +15,24 @@
 
 import msgspec
 
-__all__ = ["Loss", "PlayError", "Play", "PlayResult", "play", "play_all"]
+from bench.steps import Step, read_log, steps_of
+
+__all__ = [
+    "Loss",
+    "PlayError",
+    "Play",
+    "PlayResult",
+    "StepTimes",
+    "play",
+    "play_all",
+]
 
 JOURNAL_FOLDER = "journal"
 PLAY_TIMEOUT_S = 900.0
+# The trainers of all deployments wait this long for a step, and results that
+# are read as late as this count as on time.
+STEP_TIMEOUT_S = 12.0
+STEP_ON_TIME_S = 8.2
 
 
 class PlayError(Exception):
@@ -56,6 +71,36 @@
     amount: float
 
 
+class StepTimes(NamedTuple):
+    """How soon steps were complete; it varies less than the worth.
+
+    Attributes:
+        mean_s: The mean time from the acceptance of a step until its trainer
+            ended it.
+        groups_on_time: How many of these groups were published on time.
+    """
+
+    mean_s: float
+    groups_on_time: int
+
+    @classmethod
+    def from_steps(cls, steps: Sequence[Step]) -> "StepTimes":
+        """Returns the times of a play's steps."""
+        ends = [s.ended_at or s.accepted_at + STEP_TIMEOUT_S for s in steps]
+        times = [
+            min(STEP_TIMEOUT_S, end - step.accepted_at)
+            for step, end in zip(steps, ends, strict=True)
+        ]
+        on_time = [
+            min(
+                s.required,
+                s.groups_published_by(s.accepted_at + STEP_ON_TIME_S),
+            )
+            for s in steps
+        ]
+        return cls(statistics.fmean(times) if times else 0.0, sum(on_time))
+
+
 class PlayResult(NamedTuple):
     """What the bench measured in one play.
 
@@ -65,6 +110,7 @@
         worth: The worth; 1.0 is the most.
         losses: What is missing to 1.0, by cause.
         broken_rules: How often each rule was broken, by name.
+        steps: How soon the steps were complete.
     """
 
     play: Play
@@ -72,6 +118,7 @@
     worth: float
     losses: tuple[Loss, ...]
     broken_rules: Mapping[str, int]
+    steps: StepTimes
 
 
 def play(bench: pathlib.Path, day: Play, why: str) -> PlayResult:
@@ -94,13 +141,16 @@
         "--seed",
         str(day.seed),
         "--no-cpu",
+        "--log",
+        "all",
         "--why",
         label,
     ]
     ended = subprocess.run(
         command,
         cwd=day.tree,
-        capture_output=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
         text=True,
         timeout=PLAY_TIMEOUT_S,
         check=False,
@@ -108,10 +158,12 @@
     for path in sorted((day.tree / JOURNAL_FOLDER).glob("*.json")):
         text = path.read_text()
         if label in text:
-            return _decode(day, msgspec.json.decode(text))
+            steps = steps_of(read_log(ended.stdout.splitlines()))
+            entry = msgspec.json.decode(text)
+            return _decode(day, entry, StepTimes.from_steps(steps))
     raise PlayError(
         f"{day.day} with seed {day.seed} left no journal entry; exit code "
-        f"{ended.returncode}: {ended.stdout[-300:]}{ended.stderr[-300:]}"
+        f"{ended.returncode}: {ended.stdout[-600:]}"
     )
 
 
@@ -123,7 +175,9 @@
         return list(executor.map(lambda day: play(bench, day, why), days))
 
 
-def _decode(day: Play, entry: Mapping[str, Any]) -> PlayResult:
+def _decode(
+    day: Play, entry: Mapping[str, Any], steps: StepTimes
+) -> PlayResult:
     if not entry["days"]:
         raise PlayError(
             f"{day.day} with seed {day.seed}: journal entry {entry['id']} has "
@@ -144,4 +198,5 @@
         figures["G"],
         tuple(loss for loss in goals + prices if loss.worth),
         figures["rules"],
+        steps,
     )
--- a/features/steps/bench_causes_steps.py
+++ b/features/steps/bench_causes_steps.py
@@ -10,10 +10,9 @@
 from bench.causes import (
     causes_of,
     lost_groups_by_cause,
-    read_log,
-    steps_of,
     worth_by_cause,
 )
+from bench.steps import read_log, steps_of
 
 JOB = "j"
 DUE_S, TIMEOUT_S, LATE_SHARE = 7.5, 12.0, 0.375
