Keep the coordinator's duty against older views, and find it after a lost answer

Cause: a view of the registrations that was read before an instance took the duty ended its term when it arrived after. A lost answer to the acquisition had the same end.

Change: decisions/duty.py: a view ends a term only if it is newer, and a duty under the own lease without a term begins one, with the wait of a takeover.

Measured: two scenarios of platform_instances failed before and pass.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -45,6 +45,22 @@
     When its job has ended and 2 s pass
     Then it has a lease of 8 s after its next tick
 
+  Scenario: a view that is older than the term does not end it
+    When all instances seek the duty
+    And the holder hears registrations that were read before it had the duty
+    Then exactly one has a term
+
+  Scenario: a duty whose acquisition got no answer is exercised
+    When the store loses its answer to the first who takes the duty
+    And the others read the registrations
+    Then exactly one has a term
+    And its first order may be given 3 s later
+
+  Scenario: a view that shows another holder ends the term
+    When all instances seek the duty
+    And the store names another holder
+    Then only that one has a term
+
   Scenario: an instance that knows no other one yet does not seek the duty
     Given an instance that has just started
     Then it does not seek the duty before it has read the registrations
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -10,6 +10,8 @@
 from features.platform_fakes import MemoryStore
 from features.shared_store import FakeClock
 from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.edges import StoreError
+from hibiscuspin.edges.transactions import PutOperation, Transaction
 from hibiscuspin.tasks.instances import LIVE_PREFIX, TICK_S, Instances, Term
 
 TAKEOVER_S = 3.0
@@ -81,6 +83,64 @@
     pass_live_keys(context)
 
 
+@when("the holder hears registrations that were read before it had the duty")
+def pass_old_view(context: Any) -> None:
+    old = {
+        value.key: value
+        for value in context.store.scan(LIVE_PREFIX, 0.0).values
+        if value.revision < holder(context).term().fencing
+    }
+    assert len(old) == len(context.instances), old
+    holder(context).on_values(old)
+
+
+@when("the store loses its answer to the first who takes the duty")
+def lose_acquisition(context: Any) -> None:
+    renew(context)
+    context.clock.now += 2.0
+    renew(context)
+    for instance in context.instances:
+        if not instance._may_take_duty(context.clock.now):
+            continue
+        instance._renew_or_register()
+        context.store.replies_to_lose = 1
+        try:
+            instance._compete_for_duty()
+        except StoreError:
+            context.lost = instance
+            return
+    raise AssertionError("no instance took the duty")
+
+
+@when("the others read the registrations")
+def read_registrations(context: Any) -> None:
+    pass_live_keys(context)
+    for instance in context.instances:
+        instance._renew_or_register()
+        instance._compete_for_duty()
+    (context.term,) = terms(context)
+
+
+@when("the store names another holder")
+def replace_holder(context: Any) -> None:
+    context.lost = holder(context)
+    other = next(i for i in context.instances if i.term() is None)
+    context.chosen = other
+    key = LIVE_PREFIX + "coordinator"
+    put = PutOperation(
+        key, other.member.name.encode(), other._registration.lease
+    )
+    context.store.commit(Transaction({}, (put,)), 0.0)
+    pass_live_keys(context)
+
+
+@then("only that one has a term")
+def check_only(context: Any) -> None:
+    assert context.lost.term() is None
+    assert context.chosen.term() is not None
+    assert len(terms(context)) == 1
+
+
 @when("{seconds:g} s pass without a renewal")
 def wait(context: Any, seconds: float) -> None:
     context.clock.now += seconds
--- /dev/null
+++ b/hibiscuspin/decisions/duty.py
@@ -0,0 +1,44 @@
+"""What the store's record of the coordinator's duty means for one instance.
+
+Load pattern: all instances restart together, and one takes the duty while
+registrations that were read a moment before are still on their way to it; or
+the store's answer to the acquisition is lost. The duty must neither be given
+up by an old view nor be kept without being exercised.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["DutyView", "is_duty_unclaimed", "is_term_over"]
+
+
+class DutyView(NamedTuple):
+    """The duty as the last view of the live keys shows it.
+
+    Attributes:
+        lease: The lease under which the duty is held; 0 if nobody holds it.
+        revision: The store's revision of the duty; 0 if nobody holds it.
+        newest_revision: The newest revision in the view. The view is at least
+            as new.
+    """
+
+    lease: int
+    revision: int
+    newest_revision: int
+
+
+def is_term_over(view: DutyView, own_lease: int, fencing: int) -> bool:
+    """Returns whether the view shows that a term has ended.
+
+    Args:
+        view: The last view.
+        own_lease: The lease of this instance.
+        fencing: The revision with which the term began.
+    """
+    if not view.revision:
+        return view.newest_revision > fencing
+    return view.lease != own_lease and view.revision > fencing
+
+
+def is_duty_unclaimed(view: DutyView, own_lease: int, has_term: bool) -> bool:
+    """Returns whether this instance holds the duty without knowing it."""
+    return bool(view.lease) and view.lease == own_lease and not has_term
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -16,6 +16,11 @@
 from hibiscuspin import rendezvous
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import registration
+from hibiscuspin.decisions.duty import (
+    DutyView,
+    is_duty_unclaimed,
+    is_term_over,
+)
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.registration import IDLE_LEASE, LeasePlan
 from hibiscuspin.edges import StoreError
@@ -220,9 +225,31 @@
         elif duty is None and self._duty_free_since == float("inf"):
             self._duty_free_since = now + FIRST_DUTY_DELAY_S
         self._duty = duty
+        self._update_term(duty, values_by_key)
+
+    def _update_term(
+        self, duty: StoredValue | None, values_by_key: Mapping[str, StoredValue]
+    ) -> None:
+        """Ends or begins a term as the stored duty demands."""
         lease = self._registration.lease
-        if self._term and (duty is None or duty.lease != lease):
+        revisions = (value.revision for value in values_by_key.values())
+        view = DutyView(
+            duty.lease if duty else 0,
+            duty.revision if duty else 0,
+            max(revisions, default=0),
+        )
+        term = self._term
+        if term is not None and is_term_over(view, lease, term.fencing):
             self._end_term("the store names another holder or none")
+        leaving = self._leaving.is_set()
+        if not leaving and is_duty_unclaimed(view, lease, term is not None):
+            orders_from = self._clock.monotonic() + self.takeover_s
+            self._term = Term(view.revision, orders_from)
+            _log.info(
+                "This instance has the coordinator's duty; the store's answer "
+                "to its acquisition was lost.",
+                extra={"fencing": view.revision},
+            )
 
     def run(self, stop: threading.Event) -> None:
         """Renews the registration until `stop` is set, then revokes it."""
