Resume jobs and the duty at once after a restart

A coordinator that was back within a second waited for the end of its own old lease.

Change: an instance that finds own unfinished jobs looks at the store at once; one that finds the duty under its own name and another process's lease takes it without a wait (decisions/relays.py, decisions/duty.py).

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -61,6 +61,20 @@
     And the store names another holder
     Then only that one has a term
 
+  Scenario: a coordinator that restarts has its duty back at once
+    When all instances seek the duty
+    And the holder's process ends and starts again
+    Then the holder has a term as soon as it has read the registrations
+    And its fence is higher than before, and it need not wait
+    And the term before can't be renewed
+
+  Scenario: another instance does not take the duty of one that restarts
+    When all instances seek the duty
+    And the holder's process ends and starts again
+    And 0.5 s pass without a renewal
+    And the other instances seek the duty
+    Then no instance but the holder can get a term
+
   Scenario: an instance that knows no other one yet does not seek the duty
     Given an instance that has just started
     Then it does not seek the duty before it has read the registrations
--- a/features/platform_relays.feature
+++ b/features/platform_relays.feature
@@ -79,6 +79,11 @@
     When 1.6 s go by on the clock
     Then "a b c d e f g" look at the store themselves
 
+  Scenario: an instance with jobs to resume looks at once, fed or not
+    Then an instance that starts does not look itself for 1.5 s
+    And one that has jobs to resume looks itself at once
+    And once it is fed it does not look itself any more
+
   Scenario: an instance whose relay was cut off is fed by the next one
     When a reads the list and tells it
     And 1 s go by on the clock
--- a/features/steps/platform_directory_steps.py
+++ b/features/steps/platform_directory_steps.py
@@ -20,6 +20,7 @@
 )
 from features.shared_store import FakeClock
 from hibiscuspin.clock import SystemClock, monotonic
+from hibiscuspin.decisions import relays
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.edges.discovery import TargetRecord
 from hibiscuspin.edges.transactions import (
@@ -344,3 +345,27 @@
 @then("the peer is not suspect")
 def check_not_suspect(context: Any) -> None:
     assert not context.peer_client.is_suspect(context.peer_address)
+
+
+@then("an instance that starts does not look itself for {seconds:g} s")
+def check_grace(context: Any, seconds: float) -> None:
+    state = relays.started(10.0)
+    before = 10.0 + seconds - 0.01
+    assert not relays.must_look_itself(state, relays.UNKNOWN_RANK, before)
+    assert relays.must_look_itself(state, relays.UNKNOWN_RANK, 10.0 + seconds)
+
+
+@then("one that has jobs to resume looks itself at once")
+def check_resumed(context: Any) -> None:
+    context.feed_state = relays.resumed(relays.started(10.0), 10.1)
+    assert relays.must_look_itself(
+        context.feed_state, relays.UNKNOWN_RANK, 10.1
+    )
+
+
+@then("once it is fed it does not look itself any more")
+def check_fed(context: Any) -> None:
+    state = relays.after_feed(DRAIN_S, 10.2)
+    assert not relays.must_look_itself(state, relays.UNKNOWN_RANK, 10.3)
+    # The view of an earlier moment changes nothing for a fed instance.
+    assert relays.resumed(state, 99.0) == state
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -141,6 +141,62 @@
     assert len(terms(context)) == 1
 
 
+@when("the holder's process ends and starts again")
+def restart_holder(context: Any) -> None:
+    lost = holder(context)
+    context.previous_term = lost.term()
+    context.restarted = Instances(
+        lost.member._replace(term="2"),
+        context.store,
+        context.clock,
+        random.Random(2),
+        TAKEOVER_S,
+    )
+    context.instances[context.instances.index(lost)] = context.restarted
+    context.lost = lost
+
+
+@then("the holder has a term as soon as it has read the registrations")
+def check_restarted(context: Any) -> None:
+    restarted = context.restarted
+    restarted._renew_or_register()
+    pass_live_keys(context)
+    # The short lease that the duty needs follows in the same tick.
+    restarted._renew_or_register()
+    restarted._compete_for_duty()
+    context.term = restarted.term()
+    assert context.term is not None
+
+
+@then("its fence is higher than before, and it need not wait")
+def check_fence(context: Any) -> None:
+    assert context.term.fencing > context.previous_term.fencing
+    assert context.term.orders_from <= context.clock.now
+
+
+@then("the term before can't be renewed")
+def check_lost_term(context: Any) -> None:
+    pass_live_keys(context)
+    context.lost.on_values(
+        {v.key: v for v in context.store.scan(LIVE_PREFIX, 0.0).values}
+    )
+    assert context.lost.term() is None
+    assert context.restarted.term() is not None
+
+
+@when("the other instances seek the duty")
+def compete_others(context: Any) -> None:
+    pass_live_keys(context)
+    for instance in context.instances:
+        if instance is not context.restarted:
+            instance._compete_for_duty()
+
+
+@then("no instance but the holder can get a term")
+def check_others(context: Any) -> None:
+    assert not terms(context)
+
+
 @when("{seconds:g} s pass without a renewal")
 def wait(context: Any, seconds: float) -> None:
     context.clock.now += seconds
--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -447,8 +447,9 @@
 
 @when("a starts again and takes its jobs back")
 def restart(context: Any) -> None:
-    memory = context.memory
-    memory.start("a", "2").resume_own()
+    jobs = context.memory.start("a", "2")
+    for job in jobs.own_unfinished():
+        assert jobs.adopt(job)
 
 
 @when("{seconds:g} s pass")
--- a/hibiscuspin/decisions/duty.py
+++ b/hibiscuspin/decisions/duty.py
@@ -4,11 +4,20 @@
 registrations that were read a moment before are still on their way to it; or
 the store's answer to the acquisition is lost. The duty must neither be given
 up by an old view nor be kept without being exercised.
+
+Load pattern: the coordinator's process is killed and starts again within a
+second, long before its lease expires. It takes the duty back at once.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
-__all__ = ["DutyView", "is_duty_unclaimed", "is_term_over"]
+__all__ = [
+    "DutyView",
+    "is_duty_of_predecessor",
+    "is_duty_unclaimed",
+    "is_term_over",
+]
 
 
 class DutyView(NamedTuple):
@@ -42,3 +51,19 @@
 def is_duty_unclaimed(view: DutyView, own_lease: int, has_term: bool) -> bool:
     """Returns whether this instance holds the duty without knowing it."""
     return bool(view.lease) and view.lease == own_lease and not has_term
+
+
+def is_duty_of_predecessor(
+    holder: str, lease: int, own_name: str, own_leases: Collection[int]
+) -> bool:
+    """Returns whether an earlier process of this instance holds the duty.
+
+    That process has ended, since one name stands for one machine.
+
+    Args:
+        holder: The name under which the duty is held.
+        lease: The lease under which it is held.
+        own_name: The name of this instance.
+        own_leases: All leases of this process.
+    """
+    return holder == own_name and lease not in own_leases
--- a/hibiscuspin/decisions/relays.py
+++ b/hibiscuspin/decisions/relays.py
@@ -22,6 +22,7 @@
     "after_outage_notice",
     "must_look_itself",
     "rank",
+    "resumed",
     "started",
 ]
 
@@ -55,6 +56,15 @@
     return FeedState(now, now + START_GRACE_S)
 
 
+def resumed(state: FeedState, now: float) -> FeedState:
+    """Returns the state of an instance that has jobs to resume at its start.
+
+    It looks itself at once: if all instances restarted together, nobody can
+    feed it, and the steps of its jobs wait.
+    """
+    return state._replace(wait_until=min(state.wait_until, now))
+
+
 def after_feed(drain_s: float, now: float) -> FeedState:
     """Returns the state after a relay has sent current copies.
 
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -316,6 +316,7 @@
                 settings.keep_s,
                 first_start=settings.first_start,
                 is_configured=lambda: self._routes.table is not None,
+                on_resume=self._feed.look_at_once,
             ),
             self._exchange,
             WeightOrders(
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -18,6 +18,7 @@
 from hibiscuspin.decisions import registration
 from hibiscuspin.decisions.duty import (
     DutyView,
+    is_duty_of_predecessor,
     is_duty_unclaimed,
     is_term_over,
 )
@@ -123,7 +124,11 @@
         # Infinity until the duty is known to be free.
         self._duty_free_since = float("inf")
         self._term: Term | None = None
+        # Leases of this process; any other lease of its name is of an earlier
+        # incarnation.
+        self._own_leases: set[int] = set()
         self._leaving = threading.Event()
+        self._wake = threading.Event()
 
     def coordinator(self) -> str:
         """Returns the last known coordinator's name, or an empty string."""
@@ -226,6 +231,8 @@
             self._duty_free_since = now + FIRST_DUTY_DELAY_S
         self._duty = duty
         self._update_term(duty, values_by_key)
+        if self._had_duty_before_restart():
+            self._wake.set()
 
     def _update_term(
         self, duty: StoredValue | None, values_by_key: Mapping[str, StoredValue]
@@ -262,9 +269,14 @@
                     "Failed to renew the registration or to acquire the duty.",
                     extra={"reason": str(error)},
                 )
-            stop.wait(TICK_S * self._rng.uniform(0.9, 1.1))
+            self._wake.wait(TICK_S * self._rng.uniform(0.9, 1.1))
+            self._wake.clear()
         self.leave()
 
+    def interrupt(self) -> None:
+        """Wakes `run` so that it notices the stop."""
+        self._wake.set()
+
     def leave(self) -> None:
         """Revokes the registration, and with it the duty."""
         self._leaving.set()
@@ -321,6 +333,7 @@
         """Registers under a new lease; an earlier one expires by itself."""
         requested_at = self._clock.monotonic()
         lease = self._store.grant_lease(plan.ttl_s, self._deadline()).lease
+        self._own_leases.add(lease)
         put = PutOperation(
             _INSTANCE_PREFIX + self.member.name,
             msgspec.json.encode(self.member),
@@ -333,8 +346,19 @@
             extra={"lease": lease, "ttl_s": plan.ttl_s},
         )
 
+    def _had_duty_before_restart(self) -> bool:
+        """Returns whether the duty names an earlier incarnation of this one."""
+        duty = self._duty
+        return duty is not None and is_duty_of_predecessor(
+            duty.value.decode(), duty.lease, self.member.name, self._own_leases
+        )
+
     def _may_take_duty(self, now: float) -> bool:
-        if self._duty is not None or self._leaving.is_set():
+        if self._leaving.is_set():
+            return False
+        if self._had_duty_before_restart():
+            return True
+        if self._duty is not None:
             return False
         return now >= self._duty_free_since + self._rank() * RANK_DELAY_S
 
@@ -351,8 +375,9 @@
             PutOperation(_DUTY_KEY, name, lease),
             PutOperation(_LAST_HOLDER_KEY, name),
         )
+        duty = self._duty
         expected = {
-            _DUTY_KEY: 0,
+            _DUTY_KEY: duty.revision if duty else 0,
             _LAST_HOLDER_KEY: last.revision if last else 0,
         }
         outcome = self._store.commit(
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -15,6 +15,8 @@
 __all__ = ["JobRecovery"]
 
 TICK_S = 0.1
+# While jobs wait to be resumed.
+CONFIGURED_POLL_S = 0.02
 # The loss of an instance triggers a sweep at once; periodic sweeps find
 # orphans that such a sweep missed.
 SWEEP_PERIOD_S = 4.0
@@ -45,6 +47,7 @@
         *,
         first_start: bool = False,
         is_configured: Callable[[], bool] = lambda: True,
+        on_resume: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates the task.
 
@@ -57,6 +60,7 @@
             first_start: Whether this is the instance's first start, so that
                 it can't have jobs to resume.
             is_configured: Returns whether the routes of jobs are known.
+            on_resume: Called if this instance has jobs to resume.
         """
         self._instances = instances
         self._jobs = jobs
@@ -65,6 +69,7 @@
         self._retention_s = keep_s + RETENTION_MARGIN_S
         self._first_start = first_start
         self._is_configured = is_configured
+        self._on_resume = on_resume
         self._finish_at = 0.0
         self._sweep_at = 0.0
         self._orphan_since_by_job: dict[str, float] = {}
@@ -109,13 +114,20 @@
             )
 
     def _resume_own(self, stop: threading.Event) -> None:
+        resumable: list[str] | None = None
         while not stop.is_set():
-            if not self._is_configured():
-                stop.wait(TICK_S)
-                continue
             try:
-                self._jobs.resume_own()
-                return
+                if resumable is None:
+                    resumable = self._jobs.own_unfinished()
+                    if resumable:
+                        self._on_resume()
+                if self._is_configured():
+                    while resumable:
+                        self._jobs.adopt(resumable[0])
+                        del resumable[0]
+                if not resumable:
+                    return
+                stop.wait(CONFIGURED_POLL_S)
             except StoreError as error:
                 _log.info(
                     "Own jobs not resumed after a restart; retrying.",
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -464,17 +464,19 @@
             self.adopt(job)
             self._adoptions_to_finish.discard(job)
 
-    def resume_own(self) -> None:
-        """Takes over the jobs that this instance held before it restarted.
+    def own_unfinished(self) -> list[str]:
+        """Returns the jobs that this instance held before it restarted.
 
         Raises:
             StoreError: The store could not be reached.
         """
         deadline = self._clock.monotonic() + ADOPT_TIMEOUT_S
         name = self._instances.member.name
-        for job, _ in self._store.heads(deadline):
-            if job.unfinished and job.holder == name:
-                self.adopt(job.job)
+        return [
+            job.job
+            for job, _ in self._store.heads(deadline)
+            if job.unfinished and job.holder == name
+        ]
 
     def hand_over(self) -> None:
         """Hands all unfinished jobs and their events to other instances."""
--- a/hibiscuspin/tasks/relay_feed.py
+++ b/hibiscuspin/tasks/relay_feed.py
@@ -88,6 +88,12 @@
         now = self._clock.monotonic()
         self._state = relays.after_feed(self.drain_s(), now)
 
+    def look_at_once(self) -> None:
+        """Makes this instance look itself, since it has jobs to resume."""
+        now = self._clock.monotonic()
+        self._state = relays.resumed(self._state, now)
+        self._registrations_from = min(self._registrations_from, now)
+
     def record_outage(self) -> None:
         """Records that a relay could not reach the store."""
         now = self._clock.monotonic()
