End dripping streams, keep slow ones, and survive malformed records

A stall limit began anew with each byte, so that a stream of single bytes or comments never ended; a stream that can't be resumed was cut after a pause of 1.2 s though its target was sound; a malformed registration or job in the store stopped the task that read it, over and over, and a malformed event was an unexpected error that did not count against its target.

Change: a stall limit counts to the next complete line and event; streams that can't be resumed wait until their deadline; malformed registrations and heads are left out with a log line; malformed events are errors of their target.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -320,7 +320,10 @@
         if target.fault == "silent":
             time.sleep(0.05)
             raise TargetError("stream stalled", sent=True, silent=True)
-        time.sleep(max(0.0, self._next_at - SystemClock().monotonic()))
+        pause_s = max(0.0, self._next_at - SystemClock().monotonic())
+        time.sleep(min(pause_s, wait.stall_s))
+        if pause_s > wait.stall_s:
+            raise TargetError("stream stalled", sent=True, silent=True)
         events: list[ServerSentEvent] = []
         while self._next_number <= self._last_number and self._is_next_due():
             data = f"{self._request_id}-{self._next_number}"
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -90,7 +90,8 @@
 
         Args:
             deadline: When to stop waiting even if bytes still arrive.
-            stall_s: The longest time without a byte.
+            stall_s: The longest time without a complete line. Single bytes
+                now and then don't extend it.
             check: Called while waiting; may raise an exception to end the
                 wait.
 
@@ -99,14 +100,15 @@
             the response.
 
         Raises:
-            TargetError: The connection failed, or no byte arrived within
+            TargetError: The connection failed, or no line arrived within
                 `stall_s` or by the deadline.
         """
         lines: list[bytes] = []
+        stalls_at = min(deadline, self._client.monotonic() + stall_s)
         while True:
             try:
                 self._client.wait(
-                    self._connection, self._response, deadline, stall_s, check
+                    self._connection, self._response, stalls_at, stall_s, check
                 )
                 data = self._read_available()
                 more = self._is_more_available(stall_s)
@@ -302,6 +304,10 @@
             if self._keepalive:
                 _enable_keepalive(raw.sock)
 
+    def monotonic(self) -> float:
+        """Returns the time by which deadlines are given."""
+        return self._clock.monotonic()
+
     def set_timeout(
         self, connection: _Connection, *, stall_s: float, deadline: float
     ) -> None:
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -154,7 +154,7 @@
                     status=stream.status,
                 )
             self._check_response(request, stream, b"")
-            return EngineEventStream(stream)
+            return EngineEventStream(stream, self._clock)
         except BaseException:
             stream.close()
             raise
@@ -307,19 +307,21 @@
 class EngineEventStream:
     """An `EventStream` that parses server-sent events."""
 
-    def __init__(self, stream: HttpStream) -> None:
+    def __init__(self, stream: HttpStream, clock: Clock) -> None:
         self._stream = stream
+        self._clock = clock
         self._lines: list[bytes] = []
-        self._version = int(stream.headers.get(words.VERSION_HEADER) or 0)
+        version = stream.headers.get(words.VERSION_HEADER) or "0"
+        self._version = _parse_number(version)
         self.headers = _forwarded_headers(stream)
 
     def read(self, wait: WaitLimits) -> list[ServerSentEvent]:
         """Waits for events; returns an empty list at the end of the stream."""
         events: list[ServerSentEvent] = []
+        # Lines that complete no event don't extend the wait.
+        stalls_at = min(wait.deadline, self._clock.monotonic() + wait.stall_s)
         while not events:
-            lines = self._stream.read_lines(
-                wait.deadline, wait.stall_s, wait.check
-            )
+            lines = self._stream.read_lines(stalls_at, wait.stall_s, wait.check)
             if not lines:
                 if self._lines or self._stream.partial_line:
                     raise TargetError("stream ended within an event", sent=True)
@@ -335,14 +337,14 @@
         number: int | None = None
         data: list[str] = []
         for line in lines:
-            name, _, value = line.rstrip(b"\r").decode().partition(":")
+            name, _, value = _decode_line(line).partition(":")
             value = value.removeprefix(" ")
             if name == "data":
                 data.append(value)
-            elif name == "id" and value.isdigit():
-                number = int(value)
-            elif name == words.VERSION_HEADER.lower() and value.isdigit():
-                self._version = int(value)
+            elif name == "id":
+                number = _parse_number(value)
+            elif name == words.VERSION_HEADER.lower():
+                self._version = _parse_number(value)
         if number is None and not data:
             return []
         raw = b"\n".join(lines) + b"\n"
@@ -353,6 +355,19 @@
         self._stream.close()
 
 
+def _decode_line(line: bytes) -> str:
+    try:
+        return line.rstrip(b"\r").decode()
+    except UnicodeDecodeError as error:
+        raise TargetError(f"line is not UTF-8: {error}", sent=True) from error
+
+
+def _parse_number(text: str) -> int:
+    if not (text.isascii() and text.isdigit()):
+        raise TargetError(f"expected a number, found {text[:40]!r}", sent=True)
+    return int(text)
+
+
 def _forwarded_headers(stream: HttpStream) -> Sequence[tuple[str, str]]:
     return [
         (name, value)
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -208,8 +208,8 @@
         """
         members = {}
         for key, value in values_by_key.items():
-            if key.startswith(_INSTANCE_PREFIX):
-                member = msgspec.json.decode(value.value, type=LiveInstance)
+            member = _decode_member(key, value)
+            if member is not None:
                 members[member.name] = member
         for name in members.keys() - self._members_by_name.keys():
             _log.info(
@@ -406,3 +406,17 @@
                 extra={"reason": reason},
             )
         self._term = None
+
+
+def _decode_member(key: str, value: StoredValue) -> LiveInstance | None:
+    """Decodes a registration; returns None for other and invalid values."""
+    if not key.startswith(_INSTANCE_PREFIX):
+        return None
+    try:
+        return msgspec.json.decode(value.value, type=LiveInstance)
+    except msgspec.DecodeError as error:
+        _log.warning(
+            "Ignoring an invalid registration of an instance.",
+            extra={"key": key, "reason": str(error)},
+        )
+        return None
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -25,6 +25,7 @@
     Transaction,
     TransactionStore,
 )
+from hibiscuspin.logs import get_logger
 
 __all__ = [
     "HEAD_PREFIX",
@@ -40,6 +41,8 @@
     "trim_default",
 ]
 
+_log = get_logger("rollouts")
+
 HEAD_PREFIX = "hibiscuspin/jobs/"
 _PART_PREFIX = "hibiscuspin/job-parts/"
 _RESULT_PREFIX = "hibiscuspin/job-results/"
@@ -241,7 +244,14 @@
         scan = self._store.scan(HEAD_PREFIX, deadline)
         rows = []
         for value in scan.values:
-            stored = _decode_head(value)
+            try:
+                stored = _decode_head(value)
+            except msgspec.DecodeError as error:
+                _log.warning(
+                    "Ignoring a job whose stored head is invalid.",
+                    extra={"key": value.key, "reason": str(error)},
+                )
+                continue
             head = stored.head
             job = StoredJob(
                 value.key.removeprefix(HEAD_PREFIX),
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -13,7 +13,8 @@
 
 __all__ = ["StreamForwarder"]
 
-# Callers disconnect after a gap of 2 s.
+# Callers disconnect after a gap of 2 s. A stream that can't go on at another
+# target is not cut before its deadline: the target may be slow but sound.
 STALL_TIMEOUT_S = 1.2
 
 _log = get_logger("live")
@@ -102,9 +103,11 @@
         return events.headers
 
     def _read_limits(self) -> WaitLimits:
-        return WaitLimits(
-            self._call.deadline, STALL_TIMEOUT_S, self._check_caller_connected
-        )
+        deadline = self._call.deadline
+        stall_s = STALL_TIMEOUT_S
+        if not self._call.route.resumable:
+            stall_s = max(0.0, deadline - self._clock.monotonic())
+        return WaitLimits(deadline, stall_s, self._check_caller_connected)
 
     def _check_caller_connected(self) -> None:
         if self._call.disconnected():
