Wait from the last possible order when the coordinator's duty changes hands

Cause: a new coordinator waited three seconds from its acquisition, so that no engine hears from two. The last one can't have sent an order since its lease ended, up to 1.8 s before, and one that is stopped knows when it ordered last.

Change: the wait counts from when the duty was seen to be free. A coordinator that is stopped leaves with its record what is left of the wait after its last order, under the revision of its own term, so that a late write counts for nothing. An order begins under a lock that the end of a term takes too (decisions/duty.py). The scenario that expected three seconds from the acquisition now expects them from the moment the duty was free, exactly.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -12,7 +12,34 @@
     And the holder's lease ends and 3 s pass
     And all instances seek the duty
     Then exactly one has a term, with a higher fence than before
-    And its first order may be given 3 s later
+    And its first order may be given 3 s after the duty was seen to be free
+
+  Scenario Outline: a coordinator that is stopped tells when it ordered last
+    When all instances seek the duty
+    And the holder orders and is stopped <after> s later
+    And all instances seek the duty
+    Then exactly one has a term, with a higher fence than before
+    And its first order may be given <wait> s later
+
+    Examples: 3.6 s lie between the orders of two, those on their way included
+      | after | wait |
+      | 0.0   | 3.0  |
+      | 1.0   | 2.6  |
+      | 9.0   | 0.0  |
+
+  Scenario: what a coordinator writes late does not shorten the wait
+    When all instances seek the duty
+    And the holder is stopped, and what it writes takes effect late
+    And all instances seek the duty
+    And the late write takes effect
+    And the holder's lease ends and 3 s pass
+    And all instances seek the duty
+    Then its first order may be given 3 s after the duty was seen to be free
+
+  Scenario: a term that has ended lets no order begin
+    When all instances seek the duty
+    And the holder orders and is stopped 0.0 s later
+    Then the holder before may not begin an order
 
   Scenario: a holder that can't renew its lease stops acting before it ends
     When all instances seek the duty
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -11,7 +11,11 @@
 from features.shared_store import FakeClock
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.edges import StoreError
-from hibiscuspin.edges.transactions import PutOperation, Transaction
+from hibiscuspin.edges.transactions import (
+    CommitConflict,
+    PutOperation,
+    Transaction,
+)
 from hibiscuspin.tasks.instances import LIVE_PREFIX, TICK_S, Instances, Term
 
 TAKEOVER_S = 3.0
@@ -81,6 +85,7 @@
         # The instance itself is lost, not only its lease.
         context.instances.remove(lost)
     pass_live_keys(context)
+    context.free_at = context.clock.now
 
 
 @when("the holder hears registrations that were read before it had the duty")
@@ -218,6 +223,54 @@
     assert context.term.orders_from == context.clock.now + seconds
 
 
+@then(
+    "its first order may be given {seconds:g} s after the duty was seen to be "
+    "free"
+)
+def check_free(context: Any, seconds: float) -> None:
+    chosen = holder(context)
+    expected = max(context.clock.now, context.free_at + seconds)
+    # The duty was free before the wait of 2 s for the candidates' turns.
+    assert context.clock.now > context.free_at
+    assert chosen.term().orders_from == expected, (chosen.term(), expected)
+
+
+@when("the holder orders and is stopped {seconds:g} s later")
+def stop_holder(context: Any, seconds: float) -> None:
+    context.lost = holder(context)
+    context.previous_term = context.lost.term()
+    assert context.lost.begin_order(context.previous_term)
+    context.clock.now += seconds
+    # A running instance renews its lease meanwhile.
+    renew(context)
+    context.lost.leave()
+    context.instances.remove(context.lost)
+    pass_live_keys(context)
+    # Makes up for the 2 s that candidates wait, so that one acts at once.
+    context.clock.now -= 2.0
+
+
+@when("the holder is stopped, and what it writes takes effect late")
+def stop_with_late_write(context: Any) -> None:
+    context.store.commits_to_delay = 1
+    lost = holder(context)
+    lost.leave()
+    context.instances.remove(lost)
+    pass_live_keys(context)
+
+
+@when("the late write takes effect")
+def apply_late(context: Any) -> None:
+    context.store.commits_to_delay = 0
+    (outcome,) = context.store.apply_delayed()
+    assert isinstance(outcome, CommitConflict), outcome
+
+
+@then("the holder before may not begin an order")
+def check_no_order(context: Any) -> None:
+    assert not context.lost.begin_order(context.previous_term)
+
+
 @then("no instance has a term")
 def check_none(context: Any) -> None:
     assert not terms(context), terms(context)
--- a/hibiscuspin/decisions/duty.py
+++ b/hibiscuspin/decisions/duty.py
@@ -7,6 +7,9 @@
 
 Load pattern: the coordinator's process is killed and starts again within a
 second, long before its lease expires. It takes the duty back at once.
+
+Load pattern: instances are stopped in turn, and the duty with them. Steps
+whose engines have old weights wait for the next coordinator's first order.
 """
 
 from collections.abc import Collection
@@ -17,6 +20,7 @@
     "is_duty_of_predecessor",
     "is_duty_unclaimed",
     "is_term_over",
+    "orders_from",
 ]
 
 
@@ -67,3 +71,24 @@
         own_leases: All leases of this process.
     """
     return holder == own_name and lease not in own_leases
+
+
+def orders_from(
+    free_since: float, wait_s: float, last_wait_s: float | None, now: float
+) -> float:
+    """Returns when a new coordinator may send its first order.
+
+    Engines must not get orders of two coordinators within `wait_s`. The last
+    one has sent none since its lease ended.
+
+    Args:
+        free_since: When the duty was first seen to be free.
+        wait_s: The least time between orders of two coordinators.
+        last_wait_s: What was left of `wait_s` after the last order when the
+            last coordinator gave up the duty; None if it was lost.
+        now: The monotonic time.
+    """
+    if last_wait_s is None:
+        return max(now, min(free_since, now) + wait_s)
+    # It gave up the duty before that was seen here.
+    return now + min(wait_s, last_wait_s)
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -15,6 +15,7 @@
 
 from hibiscuspin import rendezvous
 from hibiscuspin.clock import Clock
+from hibiscuspin.decisions import duty as duty_decisions
 from hibiscuspin.decisions import registration
 from hibiscuspin.decisions.duty import (
     DutyView,
@@ -48,6 +49,8 @@
 # The holder stops acting this long before its lease may expire in the store.
 SAFETY_MARGIN_S = 0.3
 STORE_TIMEOUT_S = 1.6
+# An order may be on its way to an engine this long.
+ORDER_SLACK_S = 0.6
 # A fleet's instances register within a second of each other, so changes are
 # batched for these times. The coordinator and the next candidates must see a
 # loss soon; the view of the others may lag.
@@ -74,6 +77,31 @@
     orders_from: float
 
 
+class _LastHolder(NamedTuple):
+    """The record of the last coordinator.
+
+    Attributes:
+        name: Its name.
+        wait_s: How long after it gave up the duty others must not send
+            orders; None if it has not given it up. The instances have no
+            common clock, so that this is no point in time.
+    """
+
+    name: str
+    wait_s: float | None
+
+    def encode(self) -> bytes:
+        """Returns the record's bytes, which begin with the name."""
+        wait = "" if self.wait_s is None else f" {self.wait_s:.3f}"
+        return f"{self.name}{wait}".encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> "_LastHolder":
+        """Reads a record."""
+        name, _, wait = value.decode().partition(" ")
+        return cls(name, float(wait) if wait else None)
+
+
 class _Registration(NamedTuple):
     lease: int = 0
     plan: LeasePlan = IDLE_LEASE
@@ -127,6 +155,8 @@
         # Leases of this process; any other lease of its name is of an earlier
         # incarnation.
         self._own_leases: set[int] = set()
+        self._order_lock = threading.Lock()
+        self._ordered_at = float("-inf")
         self._leaving = threading.Event()
         self._wake = threading.Event()
 
@@ -200,6 +230,18 @@
             return None
         return term
 
+    def begin_order(self, term: Term) -> bool:
+        """Records that an order is about to be sent.
+
+        Returns:
+            Whether the term has not ended, so that the order may be sent.
+        """
+        with self._order_lock:
+            if self.term() != term:
+                return False
+            self._ordered_at = self._clock.monotonic()
+            return True
+
     def on_values(self, values_by_key: Mapping[str, StoredValue]) -> None:
         """Updates the view from the stored registrations and duty.
 
@@ -280,7 +322,11 @@
     def leave(self) -> None:
         """Revokes the registration, and with it the duty."""
         self._leaving.set()
-        self._end_term("this instance is stopping")
+        term = self._term
+        if term is not None:
+            with self._order_lock:
+                self._end_term("this instance is stopping")
+            self._record_last_order(term)
         lease = self._registration.lease
         self._registration = _Registration()
         if lease:
@@ -292,6 +338,23 @@
                     extra={"reason": str(error)},
                 )
 
+    def _record_last_order(self, term: Term) -> None:
+        """Tells the next coordinator how long it must wait."""
+        now = self._clock.monotonic()
+        wait_s = self._ordered_at + self.takeover_s + ORDER_SLACK_S - now
+        record = _LastHolder(self.member.name, max(0.0, wait_s))
+        put = PutOperation(_LAST_HOLDER_KEY, record.encode())
+        # The acquisition wrote the record, and a later one replaces it.
+        expected = {_LAST_HOLDER_KEY: term.fencing}
+        try:
+            self._store.commit(Transaction(expected, (put,)), self._deadline())
+        except StoreError as error:
+            _log.info(
+                "The last order was not recorded; the next coordinator waits "
+                "longer.",
+                extra={"reason": str(error)},
+            )
+
     def _deadline(self) -> float:
         return self._clock.monotonic() + STORE_TIMEOUT_S
 
@@ -370,10 +433,10 @@
 
     def _acquire_duty(self, lease: int) -> None:
         last = self._store.read(_LAST_HOLDER_KEY, self._deadline())
-        name = self.member.name.encode()
+        record = _LastHolder(self.member.name, None)
         puts = (
-            PutOperation(_DUTY_KEY, name, lease),
-            PutOperation(_LAST_HOLDER_KEY, name),
+            PutOperation(_DUTY_KEY, self.member.name.encode(), lease),
+            PutOperation(_LAST_HOLDER_KEY, record.encode()),
         )
         duty = self._duty
         expected = {
@@ -388,14 +451,19 @@
         now = self._clock.monotonic()
         # The same name means the same machine, which after a restart is still
         # the same holder and need not wait.
-        same_holder = last is None or last.value == name
-        orders_from = now if same_holder else now + self.takeover_s
+        last_holder = _LastHolder.decode(last.value) if last else record
+        orders_from = now
+        if last_holder.name != self.member.name:
+            orders_from = duty_decisions.orders_from(
+                self._duty_free_since, self.takeover_s, last_holder.wait_s, now
+            )
         self._term = Term(outcome.revision, orders_from)
         _log.info(
             "This instance has taken the coordinator's duty.",
             extra={
                 "fencing": outcome.revision,
-                "last": last.value.decode() if last else "",
+                "last": last_holder.name if last else "",
+                "orders_in_s": round(orders_from - now, 2),
             },
         )
 
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -228,7 +228,7 @@
             state.accepted_orders,
         )
         # The duty may have ended while the state was queried.
-        if self._instances.term() != term:
+        if not self._instances.begin_order(term):
             return False
         deadline = self._clock.monotonic() + CALL_TIMEOUT_S
         accepted = False
