Send the steps of a model to one instance of the data centre

Two steps of one trainer that overlap learnt of each other's requests a fifth of a second late.

Change: an instance that gets a job asks the preferred instance, the first by rendezvous hashing of the model among those of the data centre, to accept and hold it; without a certain answer it accepts the job itself, which the store allows once only. An instance takes up to four open jobs from others (decisions/holders.py).

--- /dev/null
+++ b/features/first_holders.feature
@@ -0,0 +1,48 @@
+Feature: The steps of a model go to one instance of the data centre
+
+  Background:
+    Given instances a, b and c before 2 engines of 8 places
+
+  Scenario: steps that arrive at different instances have one holder
+    When a, b and c are sent steps of one model in turn
+    Then the preferred instance holds all 3 steps
+    And each instance reads the results of each step
+
+  Scenario: a step whose preferred holder does not respond is accepted here
+    Given the preferred instance does not respond
+    When another instance is sent a step
+    Then it holds the step itself within 0.5 s
+
+  Scenario: a step whose preferred holder is stopping is accepted here
+    Given the preferred instance is stopping
+    When another instance is sent a step
+    Then it holds the step itself within 0.5 s
+
+  Scenario: an instance with many open steps takes no more from others
+    When another instance is sent 6 steps
+    Then the preferred instance holds 4 steps and the other one 2
+
+  Scenario: an acceptance whose answer is lost is no second job
+    Given the answers of the preferred instance are lost
+    When another instance is sent a step
+    Then the preferred instance holds the step, and nobody else does
+
+  Scenario Outline: with the store out a step is refused truthfully
+    Given the store is down
+    And the answers of the preferred instance are <answers>
+    When another instance is sent a step
+    Then the step is refused with "<code>"
+
+    Examples:
+      | answers | code              |
+      | heard   | store_unavailable |
+      | lost    | outcome_unknown   |
+
+  Scenario Outline: which instance is preferred
+    Then of the instances "<instances>" in the data centre "x" with suspects "<suspects>" one of "<near>" is preferred, the same for each
+
+    Examples:
+      | instances       | suspects | near  |
+      | a:x b:x c:x d:y | none     | a b c |
+      | a:x b:x c:x d:y | a        | b c   |
+      | a:x b:y c:y     | none     | a     |
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -1,5 +1,6 @@
 """In-memory store, targets and peers that can be made to fail."""
 
+import contextlib
 import itertools
 import random
 import threading
@@ -37,6 +38,7 @@
     Transaction,
     WatchResult,
 )
+from hibiscuspin.errors import HibiscusError
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerUnreachableError
 from hibiscuspin.settings import Address
@@ -429,11 +431,16 @@
 
 
 class MemoryPeers:
-    """Calls between instances; `unreachable_addresses` don't respond."""
+    """Calls between instances.
+
+    Those at `unreachable_addresses` get no call, and those at
+    `answerless_addresses` serve calls whose answers are lost.
+    """
 
     def __init__(self) -> None:
         self.handlers_by_address: dict[str, Mapping[str, Any]] = {}
         self.unreachable_addresses: set[str] = set()
+        self.answerless_addresses: set[str] = set()
         self.suspect_addresses: set[str] = set()
 
     def is_suspect(self, address: str) -> bool:
@@ -451,7 +458,12 @@
             self.suspect_addresses.add(address)
             raise PeerUnreachableError(address)
         self.suspect_addresses.discard(address)
-        result: bytes = self.handlers_by_address[address][method](body)
+        handler = self.handlers_by_address[address][method]
+        if address in self.answerless_addresses:
+            with contextlib.suppress(HibiscusError):
+                handler(body)
+            raise PeerUnreachableError(f"no answer from {address}")
+        result: bytes = handler(body)
         return result
 
 
--- /dev/null
+++ b/features/steps/first_holders_steps.py
@@ -0,0 +1,150 @@
+"""Steps on which instance holds a job first."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from features.platform_fakes import MODEL, job_contents
+from features.steps.platform_jobs_steps import wait_until
+from hibiscuspin.clock import monotonic
+from hibiscuspin.decisions import holders
+from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.errors import HibiscusError
+
+RESULTS_S = 5.0
+LONG_STEP_EVENTS = 500
+
+
+def preferred(context: Any) -> str:
+    instances = context.memory.instances_by_name["a"]
+    member = holders.preferred_holder(
+        MODEL, instances.member, instances.others(), ()
+    )
+    return member.name
+
+
+def other(context: Any) -> str:
+    return next(name for name in "abc" if name != preferred(context))
+
+
+def send(context: Any, name: str, job: str, events: int = 5) -> None:
+    memory = context.memory
+    memory.jobs_by_name[name].submit(
+        job_contents(job, 1, 2, events), memory.route, monotonic() + 0.5
+    )
+
+
+def held_by(context: Any, name: str) -> list[str]:
+    jobs = context.memory.jobs_by_name[name]
+    return [local.contents.job for local in jobs._job_by_id.values()]
+
+
+@when("a, b and c are sent steps of one model in turn")
+def send_in_turn(context: Any) -> None:
+    for name in "abc":
+        send(context, name, f"step-{name}")
+
+
+@then("the preferred instance holds all {count:d} steps")
+def check_all(context: Any, count: int) -> None:
+    assert len(held_by(context, preferred(context))) == count
+
+
+@then("each instance reads the results of each step")
+def check_results(context: Any) -> None:
+    for name in "abc":
+        jobs = context.memory.jobs_by_name[name]
+        for step in "abc":
+
+            def complete(jobs: Any = jobs, job: str = f"step-{step}") -> bool:
+                return len(jobs.results(job, 0, 0.0).results) == 2
+
+            assert wait_until(complete, RESULTS_S), (name, step)
+
+
+@given("the preferred instance does not respond")
+def silence(context: Any) -> None:
+    memory = context.memory
+    address = memory.members[preferred(context)].address
+    memory.peers.unreachable_addresses.add(address)
+
+
+@given("the preferred instance is stopping")
+def stop(context: Any) -> None:
+    context.memory.jobs_by_name[preferred(context)]._stopping = True
+
+
+@given("the answers of the preferred instance are {answers}")
+def lose_answers(context: Any, answers: str) -> None:
+    memory = context.memory
+    if answers == "lost":
+        address = memory.members[preferred(context)].address
+        memory.peers.answerless_addresses.add(address)
+
+
+@when("another instance is sent a step")
+def send_other(context: Any) -> None:
+    context.refusal = None
+    started_at = monotonic()
+    try:
+        send(context, other(context), "step")
+    except HibiscusError as error:
+        context.refusal = error
+    context.took_s = monotonic() - started_at
+
+
+@when("another instance is sent {count:d} steps")
+def send_many(context: Any, count: int) -> None:
+    for number in range(count):
+        name = other(context)
+        send(context, name, f"step-{number}", LONG_STEP_EVENTS)
+
+
+@then("it holds the step itself within {limit:g} s")
+def check_own(context: Any, limit: float) -> None:
+    assert context.refusal is None and context.took_s < limit
+    assert held_by(context, other(context)) == ["step"]
+    assert not held_by(context, preferred(context))
+
+
+@then("the preferred instance holds {many:d} steps and the other one {few:d}")
+def check_split(context: Any, many: int, few: int) -> None:
+    assert len(held_by(context, preferred(context))) == many
+    assert len(held_by(context, other(context))) == few
+
+
+@then("the preferred instance holds the step, and nobody else does")
+def check_once(context: Any) -> None:
+    assert context.refusal is None, context.refusal
+    for name in "abc":
+        expected = ["step"] if name == preferred(context) else []
+        assert held_by(context, name) == expected, name
+
+
+@then('the step is refused with "{code}"')
+def check_refused(context: Any, code: str) -> None:
+    assert context.refusal is not None
+    assert str(context.refusal.kind) == code, context.refusal
+    assert not any(held_by(context, name) for name in "abc")
+
+
+@then(
+    'of the instances "{texts}" in the data centre "{data_centre}" with '
+    'suspects "{suspects}" one of "{near}" is preferred, the same for each'
+)
+def check_preferred(
+    context: Any, texts: str, data_centre: str, suspects: str, near: str
+) -> None:
+    members = []
+    for text in texts.split():
+        name, _, place = text.partition(":")
+        members.append(LiveInstance(name, "1", f"{name}:1", place))
+    suspected = suspects.replace("none", "").split()
+    chosen = {
+        holders.preferred_holder(
+            MODEL, own, [m for m in members if m != own], suspected
+        ).name
+        for own in members
+        if own.data_centre == data_centre and own.name not in suspected
+    }
+    assert len(chosen) == 1 and chosen <= set(near.split()), chosen
--- a/hibiscuspin/decisions/holders.py
+++ b/hibiscuspin/decisions/holders.py
@@ -1,4 +1,10 @@
-"""Which instances a job holder exchanges loads with.
+"""Which instance holds a job first, and which ones holders exchange loads with.
+
+Load pattern: a trainer's steps arrive at any instance of its data centre. If
+each instance held what arrives there, each would open connections of its own
+to all engines, and the two steps that overlap would compete for slots from
+two instances that learn of each other's requests late. The steps of a model
+therefore go to one instance of the data centre while it is live.
 
 Load pattern: a handful of job holders among hundreds of instances. Asking all
 instances for their loads takes longer than the samples that the loads are
@@ -9,7 +15,20 @@
 
 from collections.abc import Collection, Mapping
 
-__all__ = ["HOLDER_TTL_S", "active_holders", "instances_to_ask"]
+from hibiscuspin import rendezvous
+from hibiscuspin.decisions.recovery import LiveInstance
+
+__all__ = [
+    "HOLDER_TTL_S",
+    "active_holders",
+    "instances_to_ask",
+    "may_hold_more",
+    "preferred_holder",
+]
+
+# The open steps that an instance takes for others: a trainer has two at a
+# time, and further ones may be open after a fault.
+MAX_FORWARDED_JOBS = 4
 
 # Holders report several times a second; some reports are lost.
 HOLDER_TTL_S = 1.5
@@ -31,6 +50,33 @@
     )
 
 
+def preferred_holder(
+    model: str,
+    own: LiveInstance,
+    others: Collection[LiveInstance],
+    suspects: Collection[str],
+) -> LiveInstance:
+    """Returns the instance that should hold a job that arrives here.
+
+    Args:
+        model: The model of the job.
+        own: This instance.
+        others: The other live instances.
+        suspects: The names of instances that did not respond lately.
+    """
+    near_by_name = {
+        member.name: member
+        for member in (own, *others)
+        if member.data_centre == own.data_centre and member.name not in suspects
+    }
+    return near_by_name[rendezvous.rank(f"holder {model}", near_by_name)[0]]
+
+
+def may_hold_more(open_jobs: int) -> bool:
+    """Returns whether an instance takes a further job from another one."""
+    return open_jobs < MAX_FORWARDED_JOBS
+
+
 def instances_to_ask(
     others: Collection[str],
     holders: Collection[str],
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import recovery
+from hibiscuspin.decisions import holders, recovery
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import SampleEvent
@@ -39,6 +39,7 @@
 
 __all__ = ["Jobs", "JobResults"]
 
+ACCEPT_METHOD = "jobs.accept"
 ADOPT_METHOD = "jobs.adopt"
 END_METHOD = "jobs.end"
 HOLDS_METHOD = "jobs.holds"
@@ -46,6 +47,18 @@
 RESULTS_METHOD = "jobs.results"
 
 MAX_CONTROL_THREADS = 64
+# An instance that responds accepts a job within 0.1 s.
+ACCEPT_CALL_TIMEOUT_S = 0.3
+# Errors with which an instance states that it has not accepted a job and will
+# not. Builds without the method respond that it is not found.
+CERTAIN_REFUSALS = frozenset(
+    {
+        ErrorKind.NOT_FOUND,
+        ErrorKind.NOT_HOLDER,
+        ErrorKind.STOPPING,
+        ErrorKind.STORE_UNAVAILABLE,
+    }
+)
 # Trainers retry a rejected job only once and store outages last seconds, so
 # creating a job is retried for this long.
 ACCEPT_TIMEOUT_S = 4.0
@@ -120,6 +133,7 @@
     def handlers(self) -> dict[str, PeerCallHandler]:
         """Returns the handlers of calls from other instances, by method."""
         return {
+            ACCEPT_METHOD: self._serve_accept,
             ADOPT_METHOD: self._serve_adopt,
             END_METHOD: self._serve_end,
             HOLDS_METHOD: self._serve_holds,
@@ -139,8 +153,96 @@
         """
         if contents.job in self._job_by_id:
             return
+        accepted: bool | None = False
+        holder = self._preferred_holder(contents.model)
+        if holder != self._instances.member:
+            accepted = self._request_acceptance(holder, contents)
+            if accepted:
+                return
+        self._accept(contents, route, deadline, applied=accepted)
+
+    def _preferred_holder(self, model: str) -> LiveInstance:
+        return holders.preferred_holder(
+            model,
+            self._instances.member,
+            self._instances.others(),
+            self.suspects(),
+        )
+
+    def _request_acceptance(
+        self, holder: LiveInstance, contents: JobContents
+    ) -> bool | None:
+        """Asks another instance to accept and hold a job.
+
+        Returns:
+            Whether it accepted the job; None if it may still accept it.
+        """
+        try:
+            body = self._peers.call(
+                holder.address,
+                ACCEPT_METHOD,
+                msgspec.msgpack.encode(contents),
+                ACCEPT_CALL_TIMEOUT_S,
+            )
+        except PeerUnreachableError as error:
+            accepted, reason = None, str(error)
+        except HibiscusError as error:
+            certain = error.kind in CERTAIN_REFUSALS
+            accepted, reason = (False if certain else None), str(error)
+        else:
+            stored = msgspec.msgpack.decode(body, type=StoredHead)
+            self._head_by_id[contents.job] = stored
+            return True
+        _log.info(
+            "Preferred holder did not accept a job.",
+            extra={
+                "job": contents.job,
+                "holder": holder.name,
+                "applied": accepted,
+                "reason": reason,
+            },
+        )
+        return accepted
+
+    def _serve_accept(self, body: bytes) -> bytes:
+        contents = msgspec.msgpack.decode(body, type=JobContents)
+        local = self._job_by_id.get(contents.job)
+        if local is not None:
+            return msgspec.msgpack.encode(local.stored)
+        if not holders.may_hold_more(len(self.open_jobs())):
+            raise _not_holder(contents.job)
+        route_and_service = self._dependencies.route_of(contents)
+        if route_and_service is None:
+            raise _not_holder(contents.job)
+        deadline = self._clock.monotonic() + ACCEPT_CALL_TIMEOUT_S
+        stored = self._accept(
+            contents, route_and_service[0], deadline, applied=False
+        )
+        return msgspec.msgpack.encode(stored)
+
+    def _accept(
+        self,
+        contents: JobContents,
+        route: ForwardRoute,
+        deadline: float,
+        *,
+        applied: bool | None,
+    ) -> StoredHead:
+        """Persists a job and starts it here unless it exists.
+
+        Args:
+            contents: The job.
+            route: Its route.
+            deadline: When the trainer stops waiting, in monotonic time.
+            applied: None if another instance may have accepted the job.
+        """
         if self._stopping:
-            raise HibiscusError(ErrorKind.STOPPING, "The instance is stopping.")
+            raise HibiscusError(
+                ErrorKind.STOPPING
+                if applied is False
+                else ErrorKind.OUTCOME_UNKNOWN,
+                "The instance is stopping.",
+            )
         member = self._instances.member
         head: JobHead = {
             "holder": member.name,
@@ -151,7 +253,7 @@
             "ended": False,
             "done": False,
         }
-        stored = self._create(contents, head, deadline)
+        stored = self._create(contents, head, deadline, applied)
         created_here = stored.head["submitted_at"] == head["submitted_at"]
         if created_here and self._is_held_here(stored.head):
             self._start(
@@ -169,12 +271,16 @@
                 "revision": stored.revision,
             },
         )
+        return stored
 
     def _create(
-        self, contents: JobContents, head: JobHead, deadline: float
+        self,
+        contents: JobContents,
+        head: JobHead,
+        deadline: float,
+        applied: bool | None,
     ) -> StoredHead:
         end = min(deadline, self._clock.monotonic() + ACCEPT_TIMEOUT_S)
-        applied: bool | None = False
         while True:
             try:
                 return self._store.create(contents, head, end)
