Run a job whose acceptance took effect late, and wait for terms that were not seen

A preferred holder gave up the creation of a job when its caller did; if it took effect after that, the job named a live holder that did not run it, and nobody took it over. A candidate for the duty that had missed a whole term counted the wait for its first order from the end of the one before.

Change: the preferred holder creates the job as long as any first holder does. The wait counts from the acquisition unless the last term was seen here.

--- a/features/first_holders.feature
+++ b/features/first_holders.feature
@@ -27,6 +27,12 @@
     When another instance is sent a step
     Then the preferred instance holds the step, and nobody else does
 
+  Scenario: a step that a slow store accepts late is run by its holder
+    Given a store whose commits take 0.5 s
+    When another instance is sent a step with 3 s to live
+    Then exactly one instance holds the step
+    And each instance reads its results
+
   Scenario Outline: with the store out a step is refused truthfully
     Given the store is down
     And the answers of the preferred instance are <answers>
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -74,6 +74,8 @@
         commits_to_delay: How many of the next commits get no reply and
             take effect only at `apply_delayed`.
         delayed_commits: Commits that wait for `apply_delayed`.
+        commit_s: How long a commit takes; without a reply if that is longer
+            than its deadline.
         committed_keys: Keys of all puts that took effect, in order.
     """
 
@@ -86,6 +88,7 @@
         self.down = False
         self.replies_to_lose = 0
         self.commits_to_delay = 0
+        self.commit_s = 0.0
         self.delayed_commits: list[Transaction] = []
         self.committed_keys: list[str] = []
 
@@ -129,7 +132,12 @@
             if self.replies_to_lose:
                 self.replies_to_lose -= 1
                 raise StoreError("no reply", None)
-            return outcome
+        if self.commit_s:
+            left_s = deadline - SystemClock().monotonic()
+            time.sleep(max(0.0, min(self.commit_s, left_s)))
+            if left_s < self.commit_s:
+                raise StoreError("no reply in time", None)
+        return outcome
 
     def apply_delayed(self) -> list[CommitResult | CommitConflict]:
         """Commits the delayed transactions, unless they conflict by now."""
--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -36,6 +36,13 @@
     And all instances seek the duty
     Then its first order may be given 3 s after the duty was seen to be free
 
+  Scenario: a candidate that missed a whole term waits from its acquisition
+    When all instances seek the duty
+    And the holder's lease ends and 3 s pass
+    And another one holds the duty and is lost, unseen by the others
+    And all instances seek the duty
+    Then its first order may be given 3 s after its acquisition
+
   Scenario: a term that has ended lets no order begin
     When all instances seek the duty
     And the holder orders and is stopped 0.0 s later
--- a/features/steps/first_holders_steps.py
+++ b/features/steps/first_holders_steps.py
@@ -93,6 +93,38 @@
     context.took_s = monotonic() - started_at
 
 
+@given("a store whose commits take {seconds:g} s")
+def slow_store(context: Any, seconds: float) -> None:
+    context.memory.store.commit_s = seconds
+
+
+@when("another instance is sent a step with {seconds:g} s to live")
+def send_with_time(context: Any, seconds: float) -> None:
+    memory = context.memory
+    memory.jobs_by_name[other(context)].submit(
+        job_contents("step", 1, 2, 5), memory.route, monotonic() + seconds
+    )
+
+
+@then("exactly one instance holds the step")
+def check_one_holder(context: Any) -> None:
+    def held() -> bool:
+        return sorted(held_by(context, n) for n in "abc") == [[], [], ["step"]]
+
+    assert wait_until(held, RESULTS_S)
+
+
+@then("each instance reads its results")
+def check_step_results(context: Any) -> None:
+    for name in "abc":
+        jobs = context.memory.jobs_by_name[name]
+
+        def complete(jobs: Any = jobs) -> bool:
+            return len(jobs.results("step", 0, 0.0).results) == 2
+
+        assert wait_until(complete, RESULTS_S), name
+
+
 @when("another instance is sent {count:d} steps")
 def send_many(context: Any, count: int) -> None:
     for number in range(count):
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -235,6 +235,24 @@
     assert chosen.term().orders_from == expected, (chosen.term(), expected)
 
 
+@when("another one holds the duty and is lost, unseen by the others")
+def hold_unseen(context: Any) -> None:
+    context.clock.now += 2.0
+    lost = min(context.instances, key=lambda instance: instance._rank())
+    lost._renew_or_register()
+    lost._compete_for_duty()
+    assert lost.term() is not None
+    context.clock.now += 2.0
+    context.store.revoke_lease(lost._registration.lease, 0.0)
+    context.instances.remove(lost)
+    pass_live_keys(context)
+
+
+@then("its first order may be given {seconds:g} s after its acquisition")
+def check_acquisition(context: Any, seconds: float) -> None:
+    assert holder(context).term().orders_from == context.clock.now + seconds
+
+
 @when("the holder orders and is stopped {seconds:g} s later")
 def stop_holder(context: Any, seconds: float) -> None:
     context.lost = holder(context)
--- a/hibiscuspin/decisions/duty.py
+++ b/hibiscuspin/decisions/duty.py
@@ -82,7 +82,8 @@
     one has sent none since its lease ended.
 
     Args:
-        free_since: When the duty was first seen to be free.
+        free_since: When the last coordinator's duty was first seen to be
+            free; `now` if its term was never seen.
         wait_s: The least time between orders of two coordinators.
         last_wait_s: What was left of `wait_s` after the last order when the
             last coordinator gave up the duty; None if it was lost.
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -128,7 +128,8 @@
         self._lock = threading.Lock()
         self._targets_by_name: dict[str, DiscoveredTarget] = {}
         self._load_by_instance: dict[str, _PeerLoad] = {}
-        # Incarnations that peers reported before the list showed them.
+        # The incarnation of each listed target that is known to be draining;
+        # peers may report one before the list shows it.
         self._draining_by_name: dict[str, Incarnation] = {}
         # Called once for each incarnation whose response says that it is
         # draining.
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -15,13 +15,13 @@
 
 from hibiscuspin import rendezvous
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import duty as duty_decisions
 from hibiscuspin.decisions import registration
 from hibiscuspin.decisions.duty import (
     DutyView,
     is_duty_of_predecessor,
     is_duty_unclaimed,
     is_term_over,
+    orders_from,
 )
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.registration import IDLE_LEASE, LeasePlan
@@ -151,6 +151,8 @@
         self._duty: StoredValue | None = None
         # Infinity until the duty is known to be free.
         self._duty_free_since = float("inf")
+        # The revision of the duty when it was last seen to be held.
+        self._held_revision = 0
         self._term: Term | None = None
         # Leases of this process; any other lease of its name is of an earlier
         # incarnation.
@@ -271,6 +273,8 @@
             self._duty_free_since = now
         elif duty is None and self._duty_free_since == float("inf"):
             self._duty_free_since = now + FIRST_DUTY_DELAY_S
+        if duty is not None:
+            self._held_revision = duty.revision
         self._duty = duty
         self._update_term(duty, values_by_key)
         if self._had_duty_before_restart():
@@ -292,8 +296,8 @@
             self._end_term("the store names another holder or none")
         leaving = self._leaving.is_set()
         if not leaving and is_duty_unclaimed(view, lease, term is not None):
-            orders_from = self._clock.monotonic() + self.takeover_s
-            self._term = Term(view.revision, orders_from)
+            first_order_at = self._clock.monotonic() + self.takeover_s
+            self._term = Term(view.revision, first_order_at)
             _log.info(
                 "This instance has the coordinator's duty; the store's answer "
                 "to its acquisition was lost.",
@@ -452,18 +456,23 @@
         # The same name means the same machine, which after a restart is still
         # the same holder and need not wait.
         last_holder = _LastHolder.decode(last.value) if last else record
-        orders_from = now
-        if last_holder.name != self.member.name:
-            orders_from = duty_decisions.orders_from(
-                self._duty_free_since, self.takeover_s, last_holder.wait_s, now
+        first_order_at = now
+        if last is not None and last_holder.name != self.member.name:
+            # A term that was never seen here may have ended just now.
+            saw_last_term = last.revision == self._held_revision
+            first_order_at = orders_from(
+                self._duty_free_since if saw_last_term else now,
+                self.takeover_s,
+                last_holder.wait_s,
+                now,
             )
-        self._term = Term(outcome.revision, orders_from)
+        self._term = Term(outcome.revision, first_order_at)
         _log.info(
             "This instance has taken the coordinator's duty.",
             extra={
                 "fencing": outcome.revision,
                 "last": last_holder.name if last else "",
-                "orders_in_s": round(orders_from - now, 2),
+                "orders_in_s": round(first_order_at - now, 2),
             },
         )
 
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -214,7 +214,9 @@
         route_and_service = self._dependencies.route_of(contents)
         if route_and_service is None:
             raise _not_holder(contents.job)
-        deadline = self._clock.monotonic() + ACCEPT_CALL_TIMEOUT_S
+        # Longer than the caller waits: a job whose creation took effect must be
+        # found and run here, since its head names this instance.
+        deadline = self._clock.monotonic() + ACCEPT_TIMEOUT_S
         stored = self._accept(
             contents, route_and_service[0], deadline, applied=False
         )
