Run the users' bench in one place, and count the steps of each model once

Change: run_bench in bench/plays.py serves both; steps are grouped by model once; an attribute says which groups it counts. No behaviour changes.

--- a/bench/causes.py
+++ b/bench/causes.py
@@ -9,7 +9,6 @@
 import argparse
 import pathlib
 import statistics
-import subprocess
 import tempfile
 import tomllib
 from collections import defaultdict
@@ -18,6 +17,7 @@
 
 import msgspec
 
+from bench.plays import Play, run_bench
 from bench.steps import Step, read_log, steps_of
 
 __all__ = [
@@ -30,7 +30,6 @@
 
 # Results count as on time this long after they are due.
 DUE_GRACE_S = 0.7
-PLAY_TIMEOUT_S = 900.0
 
 
 class Interval(NamedTuple):
@@ -137,12 +136,11 @@
         total = sum(row.end - row.start for row in intervals)
         for row in intervals:
             lost[row.cause] += groups * (row.end - row.start) / total
-    for model in {step.model for step in steps}:
-        required = [s.required for s in steps if s.model == model]
-        most = max(
-            sum(s.model == other for s in steps)
-            for other in {s.model for s in steps}
-        )
+    required_by_model: dict[str, list[int]] = defaultdict(list)
+    for step in steps:
+        required_by_model[step.model].append(step.required)
+    most = max(map(len, required_by_model.values()), default=0)
+    for required in required_by_model.values():
         never_asked = most - len(required)
         if never_asked:
             lost["trainer behind"] += never_asked * statistics.mean(required)
@@ -184,21 +182,6 @@
     return worth
 
 
-def _play(args: argparse.Namespace, report: pathlib.Path) -> str:
-    command = [str(args.bench), "run", str(args.site), args.day, "--seed"]
-    command += [str(args.seed), "--no-cpu", "--log", "all"]
-    command += ["--why", "What binds", "--report", str(report)]
-    return subprocess.run(
-        command,
-        cwd=args.tree,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-        text=True,
-        timeout=PLAY_TIMEOUT_S,
-        check=True,
-    ).stdout
-
-
 def _step_table(steps: Sequence[Step], timeout_s: float) -> Iterable[str]:
     for step in steps:
         complete_s = (step.complete_at or float("inf")) - step.accepted_at
@@ -226,7 +209,10 @@
     step_class = next(row for row in classes if "lot" in row)
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "report.json"
-        output = _play(args, path)
+        day = Play(args.tree, args.site, args.day, args.seed)
+        ended = run_bench(args.bench, day, "What binds", "--report", str(path))
+        ended.check_returncode()
+        output = ended.stdout
         report = msgspec.json.decode(path.read_bytes())
     if args.log:
         args.log.write_text(output)
--- a/bench/plays.py
+++ b/bench/plays.py
@@ -25,6 +25,7 @@
     "StepTimes",
     "play",
     "play_all",
+    "run_bench",
 ]
 
 JOURNAL_FOLDER = "journal"
@@ -77,7 +78,8 @@
     Attributes:
         mean_s: The mean time from the acceptance of a step until its trainer
             ended it.
-        groups_on_time: How many of these groups were published on time.
+        groups_on_time: How many of the groups that the trainers waited for
+            were published on time.
     """
 
     mean_s: float
@@ -121,33 +123,21 @@
     steps: StepTimes
 
 
-def play(bench: pathlib.Path, day: Play, why: str) -> PlayResult:
-    """Plays one day without counting processor time.
+def run_bench(
+    bench: pathlib.Path, day: Play, why: str, *options: str
+) -> subprocess.CompletedProcess[str]:
+    """Plays one day without counting processor time; returns its output.
 
     Args:
         bench: The path of the bench's program.
         day: The day to play.
         why: The reason, for the journal.
-
-    Raises:
-        PlayError: The play left no figures.
+        *options: Further options of the bench.
     """
-    label = f"{why} ({uuid.uuid4().hex[:12]})"
-    command = [
-        str(bench),
-        "run",
-        str(day.site),
-        day.day,
-        "--seed",
-        str(day.seed),
-        "--no-cpu",
-        "--log",
-        "all",
-        "--why",
-        label,
-    ]
-    ended = subprocess.run(
-        command,
+    command = [str(bench), "run", str(day.site), day.day]
+    command += ["--seed", str(day.seed), "--no-cpu", "--log", "all"]
+    return subprocess.run(
+        [*command, "--why", why, *options],
         cwd=day.tree,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -155,6 +145,21 @@
         timeout=PLAY_TIMEOUT_S,
         check=False,
     )
+
+
+def play(bench: pathlib.Path, day: Play, why: str) -> PlayResult:
+    """Plays one day without counting processor time.
+
+    Args:
+        bench: The path of the bench's program.
+        day: The day to play.
+        why: The reason, for the journal.
+
+    Raises:
+        PlayError: The play left no figures.
+    """
+    label = f"{why} ({uuid.uuid4().hex[:12]})"
+    ended = run_bench(bench, day, label)
     for path in sorted((day.tree / JOURNAL_FOLDER).glob("*.json")):
         text = path.read_text()
         if label in text:
