Log the software version of each target, and what a stream resumes

The logs could not tell which software version wrote an event, nor that a caller took a stream up again. A target's registration names the version and the request header `Resumes` the attempt that brought the first event; both are decoded and logged. No decision uses them yet.

--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -39,6 +39,8 @@
         draining: Whether the target is leaving.
         version_by_model: The version of each model's weights that the target
             serves.
+        software_version: The version of the target's own software; empty if
+            its registration names none.
     """
 
     name: str
@@ -49,6 +51,7 @@
     slots: int
     draining: bool
     version_by_model: Mapping[str, int]
+    software_version: str = ""
 
 
 class ProxiedRequest(NamedTuple):
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -205,6 +205,8 @@
                 incoming.header("Authorization"),
                 incoming.body,
             ),
+            resumes=incoming.header(words.RESUMES_HEADER),
+            resumed_after=_resumed_after(incoming),
         )
 
     def _forward(self, call: ForwardedCall) -> Response:
@@ -242,6 +244,15 @@
     )
 
 
+def _resumed_after(incoming: _IncomingRequest) -> int:
+    """Returns the number of the last event that the caller has, or 0.
+
+    Other values are left to the target, which gets the header unchanged.
+    """
+    text = incoming.header(words.LAST_EVENT_ID_HEADER)
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _timeout_s(incoming: _IncomingRequest, default_s: float) -> float:
     text = incoming.header(words.DEADLINE_MS_HEADER)
     return (
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -93,9 +93,17 @@
         slots=slots,
         draining=raw["state"] == DRAINING_STATE,
         version_by_model=_parse_versions(raw),
+        software_version=_parse_software_version(raw),
     )
 
 
+def _parse_software_version(raw: Mapping[str, Any]) -> str:
+    value = raw.get("version", "")
+    if not isinstance(value, str):
+        raise TypeError("version must be a string")
+    return value
+
+
 def _parse_versions(raw: Mapping[str, Any]) -> dict[str, int]:
     return {row["name"]: int(row["version"]) for row in raw.get("models") or ()}
 
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -18,6 +18,7 @@
     "NOT_EXECUTED_HEADER",
     "OUTPUT_TOKENS_HINT_HEADER",
     "REQUEST_ID_HEADER",
+    "RESUMES_HEADER",
     "TARGET_STAMP_HEADER",
     "TOKEN_COUNTS_HEADER",
     "URGENCY_HEADER",
@@ -55,6 +56,9 @@
 # Marks a response as produced by the target itself.
 TARGET_STAMP_HEADER = "X-Server-Stamp"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
+# The id of the request that brought the stream's first event, which need not be
+# the last one that was cut off.
+RESUMES_HEADER = "Resumes"
 # In every response of a target that is draining.
 LEAVING_HEADER = "Server-Leaving"
 LEAVING_VALUE = "1"
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -233,6 +233,7 @@
                 "service": record.service,
                 "address": str(record.address),
                 "born_ms": record.born_ms,
+                "software_version": record.software_version,
             },
         )
 
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -61,6 +61,10 @@
         deferrable: Whether no caller waits for it, as for reward calls.
         fingerprint: What identifies the request when it comes again; empty
             if it can't crash a target.
+        resumes: The id of the request that brought the first event of the
+            stream that this one resumes; empty for a new stream.
+        resumed_after: The id of the last event that its caller has; 0 for a
+            new stream.
     """
 
     request: ProxiedRequest
@@ -71,6 +75,8 @@
     disconnected: Callable[[], bool]
     deferrable: bool = False
     fingerprint: str = ""
+    resumes: str = ""
+    resumed_after: int = 0
 
 
 class CallResult(NamedTuple):
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -292,6 +292,7 @@
                 "request_id": sample.item.name,
                 "group": sample.item.group,
                 "target": run.target.name,
+                "software_version": run.target.record.software_version,
                 "end": outcome.name,
                 "events": len(sample.events),
                 "versions": sample.versions,
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -139,6 +139,17 @@
             self._targets.request_ended(target)
             raise
         self._target, self._events = target, events
+        _log.info(
+            "Stream opened.",
+            extra={
+                "request_id": self._call.request.request_id,
+                "service": self._call.service,
+                "target": target.name,
+                "software_version": target.record.software_version,
+                "resumes": self._call.resumes,
+                "after": self._last_event_number or self._call.resumed_after,
+            },
+        )
         return events.headers
 
     def _read_limits(self) -> WaitLimits:
