--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -58,6 +58,7 @@
 from hibiscuspin.tasks.reward_calls import RewardCaller
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.scoring import Scoring
+from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 from hibiscuspin.tasks.target_exchange import TargetExchange
 
 EVENT_S = 0.004
@@ -241,6 +242,9 @@
         listens_after_crash_s: How long it still listens after a crash.
         crashed_at: When each request with that body arrived.
         arrived_at: When each request and each run arrived.
+        software_version: The version of its software.
+        marks_events: Whether each event names the software version.
+        is_draining: Whether its entry says that it is draining.
     """
 
     def __init__(self, name: str) -> None:
@@ -264,6 +268,9 @@
         self.crashed_at: list[float] = []
         self.arrived_at: list[float] = []
         self.orders: list[WeightOrder] = []
+        self.software_version = "v1"
+        self.marks_events = False
+        self.is_draining = False
 
     def send(
         self,
@@ -343,6 +350,7 @@
         self, request: ProxiedRequest, after: int, wait: WaitLimits
     ) -> "MemoryStream":
         """Starts a run whose first event follows the event `after`."""
+        after = after or int(request.headers.get("Last-Event-Id", 0))
         self.runs.setdefault(request.request_id, []).append(after)
         self._check_up()
         self.arrived_at.append(SystemClock().monotonic())
@@ -380,6 +388,8 @@
         self._next_number = after + 1
         self._last_number = int(request.body)
         self._generated_count = 0
+        mark = f"@{target.software_version}" if target.marks_events else ""
+        self._mark = mark
         self._next_at = SystemClock().monotonic() + target.event_s
         target.running_count += 1
 
@@ -398,8 +408,8 @@
             raise TargetError("stream stalled", sent=True, silent=True)
         events: list[ServerSentEvent] = []
         while self._next_number <= self._last_number and self._is_next_due():
-            data = f"{self._request_id}-{self._next_number}"
-            raw = b"%d\n" % self._next_number
+            data = f"{self._request_id}-{self._next_number}{self._mark}"
+            raw = f"{self._next_number}{self._mark}\n".encode()
             events.append(
                 ServerSentEvent(raw, self._next_number, data, target.version)
             )
@@ -649,6 +659,7 @@
         self.route: ForwardRoute | None = ROUTE
         self.executors: list[ThreadPoolExecutor] = []
         self.forwarder_by_name: dict[str, Forwarder] = {}
+        self.streams_by_name: dict[str, StreamForwarder] = {}
         self.peers_by_name: dict[str, PeerConnection] = {}
         self.interruptible: list[LimitShares | CrashExchange] = []
         self.stop_by_name: dict[str, threading.Event] = {}
@@ -663,8 +674,9 @@
                 Address("127.0.0.1", number + 1),
                 "dc",
                 self.slots,
-                False,
+                target.is_draining,
                 {MODEL: target.version},
+                target.software_version,
             )
             for number, (name, target) in enumerate(self.target_by_name.items())
         ] + [
@@ -705,6 +717,7 @@
         self.executors += [run_executor, store_executor]
         forwarder = Forwarder(targets, self.clock)
         self.forwarder_by_name[name] = forwarder
+        self.streams_by_name[name] = StreamForwarder(targets, self.clock)
         rewards = RewardCaller(self.routes, forwarder, self.clock)
         scoring = Scoring(self.clock, rewards.startable_calls, Metrics())
         self.scoring_queues.append(scoring)
