Let an instance that does not answer delay no report to the others

The reports of crashes waited until each instance had answered, up to 0.5 s for one that is gone, before the next report left.

--- a/hibiscuspin/tasks/crash_reports.py
+++ b/hibiscuspin/tasks/crash_reports.py
@@ -168,6 +168,9 @@
         with self._lock:
             return dict(self._suspects_by_target)
 
+    def on_acknowledged(self, body: bytes) -> None:
+        """Does nothing: no request waits until others know of a crash."""
+
     def take_unreported(self) -> bytes | None:
         """Returns the records that changed, encoded; None for none."""
         with self._lock:
--- a/hibiscuspin/tasks/report_exchange.py
+++ b/hibiscuspin/tasks/report_exchange.py
@@ -54,6 +54,9 @@
             msgspec.DecodeError: The body is malformed.
         """
 
+    def on_acknowledged(self, body: bytes) -> None:
+        """Handles that another instance knows a body of `take_unreported`."""
+
 
 class _PendingReport(NamedTuple):
     """A report that an instance has not acknowledged."""
@@ -90,6 +93,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._pending_by_name: dict[str, list[_PendingReport]] = {}
+        # Instances that are being told; one call at a time each.
+        self._being_told: set[str] = set()
         self._executor = ThreadPoolExecutor(
             MAX_PARALLEL_CALLS, thread_name_prefix=subject
         )
@@ -112,7 +117,8 @@
     @property
     def has_pending(self) -> bool:
         """Whether an instance has not acknowledged a report."""
-        return bool(self._pending_by_name)
+        with self._lock:
+            return any(self._pending_by_name.values())
 
     def shutdown(self) -> None:
         """Waits for the calls in flight."""
@@ -163,20 +169,45 @@
                 for name, reports in self._pending_by_name.items()
                 if (kept := [r for r in reports if r.give_up_at > now])
             }
-            names = set(self._pending_by_name)
-        members = [m for m in self._instances.others() if m.name in names]
-        list(self._executor.map(self._report_to, members))
+            names = set(self._pending_by_name) - self._being_told
+            members = [m for m in self._instances.others() if m.name in names]
+            self._being_told.update(member.name for member in members)
+        # Those that do not answer must not delay the others.
+        members.sort(key=lambda m: self._peers.is_suspect(m.address))
+        for member in members:
+            self._executor.submit(self._report_to, member)
 
     def _report_to(self, member: LiveInstance) -> None:
+        """Tells an instance all that it has not acknowledged."""
+        is_told = False
+        try:
+            while report := self._next_report(member.name):
+                if self._call(member, self._report_method, report.body) is None:
+                    return
+                self._remove_report(member.name, report)
+                self._records.on_acknowledged(report.body)
+            is_told = True
+        except Exception:
+            _log.exception("Reports to a peer failed unexpectedly.")
+        finally:
+            if not is_told:
+                with self._lock:
+                    self._being_told.discard(member.name)
+
+    def _remove_report(self, name: str, report: _PendingReport) -> None:
         with self._lock:
-            reports = list(self._pending_by_name.get(member.name, ()))
-        for report in reports:
-            if self._call(member, self._report_method, report.body) is None:
-                return
-            with self._lock:
-                pending = self._pending_by_name.get(member.name, [])
-                if report in pending:
-                    pending.remove(report)
+            pending = self._pending_by_name.get(name, [])
+            if report in pending:
+                pending.remove(report)
+
+    def _next_report(self, name: str) -> _PendingReport | None:
+        with self._lock:
+            pending = self._pending_by_name.get(name)
+            if pending:
+                return pending[0]
+            # Under the same lock, so that no report added now is left over.
+            self._being_told.discard(name)
+            return None
 
     def _call(
         self, member: LiveInstance, method: str, body: bytes
