Let streams go on only at the software version that began them

Callers' streams went on at any target, within one answer and when a caller took a stream up again at another instance. Cause: nobody read `Resumes`, and no instance knew what began a stream elsewhere.

A stream is now bound to the software (service and version) of the target that brought its first event. The instance tells all others before that event leaves, for which it waits until one has answered, at most 50 ms; an instance that starts asks for all, and one that misses a stream asks the others. What nobody knows is refused at once (`stream_not_resumable`, 503, not run), and so is a stream whose version has no target left. A resumed stream is sent as urgent and waits up to 1.2 s for a slot, since callers wait 2 s for an event. Until its first event a stream may begin at any target, so the headers leave with the first event.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -58,7 +58,9 @@
 from hibiscuspin.tasks.reward_calls import RewardCaller
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.scoring import Scoring
+from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
+from hibiscuspin.tasks.stream_origins import StreamOrigins
 from hibiscuspin.tasks.target_exchange import TargetExchange
 
 EVENT_S = 0.004
@@ -596,6 +598,16 @@
         return self._peers.call(address, method, body, timeout_s)
 
 
+def lone_streams(targets: DiscoveredTargets) -> StreamForwarder:
+    """Returns the stream forwarder of an instance that knows no other one."""
+    clock = SystemClock()
+    member = LiveInstance("lone", "1", "lone/1", "dc")
+    instances: Any = MemoryInstances(member, {}, {})
+    peers: Any = PeerConnection(MemoryPeers())
+    origins = StreamExchange(StreamOrigins(clock), instances, peers, clock)
+    return StreamForwarder(targets, origins, clock)
+
+
 ROUTE = ForwardRoute(
     name="r",
     host="h",
@@ -661,7 +673,9 @@
         self.forwarder_by_name: dict[str, Forwarder] = {}
         self.streams_by_name: dict[str, StreamForwarder] = {}
         self.peers_by_name: dict[str, PeerConnection] = {}
-        self.interruptible: list[LimitShares | CrashExchange] = []
+        self.interruptible: list[
+            LimitShares | CrashExchange | StreamExchange
+        ] = []
         self.stop_by_name: dict[str, threading.Event] = {}
 
     def records(self) -> list[TargetRecord]:
@@ -717,7 +731,12 @@
         self.executors += [run_executor, store_executor]
         forwarder = Forwarder(targets, self.clock)
         self.forwarder_by_name[name] = forwarder
-        self.streams_by_name[name] = StreamForwarder(targets, self.clock)
+        streams = StreamExchange(
+            StreamOrigins(self.clock), instances, peers, self.clock
+        )
+        self.streams_by_name[name] = StreamForwarder(
+            targets, streams, self.clock
+        )
         rewards = RewardCaller(self.routes, forwarder, self.clock)
         scoring = Scoring(self.clock, rewards.startable_calls, Metrics())
         self.scoring_queues.append(scoring)
@@ -742,19 +761,21 @@
         reports = CrashExchange(
             targets.crashes, instances, peers, store, self.clock
         )
-        shares_executor = ThreadPoolExecutor(2)
+        shares_executor = ThreadPoolExecutor(3)
         self.executors.append(shares_executor)
         stop = self.stop_by_name.setdefault(name, threading.Event())
         stop.set()
         stop = self.stop_by_name[name] = threading.Event()
-        self.interruptible += [shares, reports]
+        self.interruptible += [shares, reports, streams]
         shares_executor.submit(shares.run, stop)
         shares_executor.submit(reports.run, stop)
+        shares_executor.submit(streams.run, stop)
         self.peers.handlers_by_address[member.address] = {
             **jobs.handlers(),
             **exchange.handlers(),
             **shares.handlers(),
             **reports.handlers(),
+            **streams.handlers(),
         }
         # Its calls to the store at the start must not count as a test's own.
         loaded_by = self.clock.monotonic() + START_TIMEOUT_S
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -13,6 +13,7 @@
     MemoryFleet,
     MemoryTarget,
     connect_to,
+    lone_streams,
 )
 from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.decisions.routes import CallKind, ForwardRoute
@@ -21,7 +22,6 @@
 from hibiscuspin.errors import HibiscusError
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
-from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 
 RESPONSE_S = 0.02
 TIMEOUT_S = 1.0
@@ -272,7 +272,7 @@
 
 
 def read_stream(context: Any, count: int, resumable: bool) -> None:
-    streams = StreamForwarder(context.targets, SystemClock())
+    streams = lone_streams(context.targets)
     body = str(count).encode()
     forwarded = forwarded_call(
         context, CallKind.STREAM, body=body, resumable=resumable
--- a/features/steps/request_limits_steps.py
+++ b/features/steps/request_limits_steps.py
@@ -15,9 +15,10 @@
     MemoryFleet,
     MemoryTarget,
     job_contents,
+    lone_streams,
 )
 from features.steps.platform_calls_steps import route
-from hibiscuspin.clock import SystemClock, monotonic
+from hibiscuspin.clock import monotonic
 from hibiscuspin.decisions import limits, placement, queueing
 from hibiscuspin.decisions.limits import TargetLimit
 from hibiscuspin.decisions.placement import TargetView
@@ -27,7 +28,6 @@
 from hibiscuspin.errors import HibiscusError
 from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
 from hibiscuspin.tasks.instances import Term
-from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 from hibiscuspin.tasks.weight_orders import WeightOrders
 
 RATE_PER_S = 2.5
@@ -110,7 +110,7 @@
 
 
 def send_stream(forwarder: Forwarder, number: int) -> None:
-    streams = StreamForwarder(forwarder._targets, SystemClock())
+    streams = lone_streams(forwarder._targets)
     _, parts = streams.open(build_call(number, CallKind.STREAM))
     list(parts)
 
--- a/hibiscuspin/errors.py
+++ b/hibiscuspin/errors.py
@@ -56,6 +56,7 @@
     TARGET_REFUSED = "target_refused"
     TARGET_FAILED = "target_failed"
     TARGET_CRASHER = "target_crasher"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     STORE_UNAVAILABLE = "store_unavailable"
     NOT_CONFIGURED = "not_configured"
     CONFIG_INVALID = "config_invalid"
@@ -109,6 +110,7 @@
     ErrorKind.TARGET_REFUSED: ErrorResponse(503, _NO, 1),
     ErrorKind.TARGET_FAILED: ErrorResponse(502, _UNKNOWN, 1),
     ErrorKind.TARGET_CRASHER: ErrorResponse(400, _YES),
+    ErrorKind.STREAM_NOT_RESUMABLE: ErrorResponse(503, _NO),
     ErrorKind.STORE_UNAVAILABLE: ErrorResponse(503, _NO, 2),
     ErrorKind.NOT_CONFIGURED: ErrorResponse(503, _NO, 2),
     ErrorKind.CONFIG_INVALID: ErrorResponse(422, _NO),
--- a/hibiscuspin/guides/errors.py
+++ b/hibiscuspin/guides/errors.py
@@ -173,6 +173,16 @@
         "time of each crash. Repair the targets; an hour after it was last "
         "sent it is accepted again.",
     ),
+    ErrorKind.STREAM_NOT_RESUMABLE: Guide(
+        "The stream can't go on after the event that the caller has: no "
+        "target of the software version that began it is left, or no "
+        "instance that answers knows which version that was.",
+        "Begin the stream anew, without Last-Event-Id.",
+        "Search the logs for the id in its `Resumes` header: the line "
+        "'Stream opened.' of that request names target and version. Under a "
+        "release, drain the targets of the old version slowly enough for "
+        "their streams to end.",
+    ),
     ErrorKind.STORE_UNAVAILABLE: Guide(
         "The platform's store did not respond, and this request needs it.",
         _RETRY_LATER,
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -54,6 +54,13 @@
             registry=self._registry,
         )
 
+        self.resumed_streams = Counter(
+            "hibiscuspin_resumed_streams",
+            "Streams that callers took up again, by error code or `resumed`.",
+            ("outcome",),
+            registry=self._registry,
+        )
+
     def observe(self, path: str, seconds: float) -> None:
         """Records the latency of one request to a path."""
         with self._lock:
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -42,7 +42,9 @@
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.scoring import Scoring
 from hibiscuspin.tasks.store_path import RELAY_METHOD, StorePath
+from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
+from hibiscuspin.tasks.stream_origins import StreamOrigins
 from hibiscuspin.tasks.supervisor import Supervisor, Task
 from hibiscuspin.tasks.target_exchange import TargetExchange
 from hibiscuspin.tasks.weight_orders import WeightOrders
@@ -160,6 +162,12 @@
             self._store,
             self._clock,
         )
+        self._stream_exchange = StreamExchange(
+            StreamOrigins(self._clock),
+            self._instances,
+            self._peers,
+            self._clock,
+        )
         self._retirement = retirement.RetirementReporter(
             self._store, self._clock
         )
@@ -296,7 +304,9 @@
             self._routes,
             lambda: self._config_watcher.is_current,
             self._forwarder,
-            StreamForwarder(self._targets, self._clock),
+            StreamForwarder(
+                self._targets, self._stream_exchange, self._clock, self._metrics
+            ),
             self._jobs,
             self._metrics,
             self._clock,
@@ -306,6 +316,7 @@
             **self._exchange.handlers(),
             **self._limit_shares.handlers(),
             **self._crash_exchange.handlers(),
+            **self._stream_exchange.handlers(),
             RELAY_METHOD: self._store_path.serve_relay,
             RELAY_COPIES_METHOD: self._directory.serve_copies,
             OUTAGE_METHOD: self._directory.serve_outage,
@@ -336,6 +347,7 @@
             self._exchange,
             self._limit_shares,
             self._crash_exchange,
+            self._stream_exchange,
             WeightOrders(
                 self._instances,
                 self._targets,
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -78,6 +78,11 @@
     resumes: str = ""
     resumed_after: int = 0
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether it takes up a stream whose first events its caller has."""
+        return bool(self.resumes or self.resumed_after)
+
 
 class CallResult(NamedTuple):
     """The result of a call that a target responded to.
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -2,21 +2,28 @@
 
 import time
 from collections.abc import Iterator, Sequence
+from typing import NoReturn
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import placement, queueing
 from hibiscuspin.decisions.crashes import Verdict
 from hibiscuspin.decisions.limits import Demand
+from hibiscuspin.decisions.placement import TargetView
+from hibiscuspin.decisions.samples import STARTED_URGENCY
+from hibiscuspin.decisions.software import Software, may_continue
 from hibiscuspin.edges import TargetError, WaitLimits
 from hibiscuspin.edges.discovery import EventStream, ServerSentEvent
 from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.logs import get_logger
+from hibiscuspin.metrics import Metrics
 from hibiscuspin.tasks.discovered import (
     CRASH_RECHECK_S,
+    REFUSAL_BACKOFF_S,
     DiscoveredTarget,
     DiscoveredTargets,
 )
 from hibiscuspin.tasks.forwarding import ForwardedCall
+from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.target_limits import Purpose, Send
 
 __all__ = ["StreamForwarder"]
@@ -24,6 +31,8 @@
 # Callers disconnect after a gap of 2 s. A stream that can't go on at another
 # target is not cut before its deadline: the target may be slow but sound.
 STALL_TIMEOUT_S = 1.2
+# How long a stream with events waits for a free slot.
+RESUME_TIMEOUT_S = 1.2
 
 _log = get_logger("live")
 
@@ -35,47 +44,152 @@
 class StreamForwarder:
     """Forwards calls of streaming routes."""
 
-    def __init__(self, targets: DiscoveredTargets, clock: Clock) -> None:
+    def __init__(
+        self,
+        targets: DiscoveredTargets,
+        origins: StreamExchange,
+        clock: Clock,
+        metrics: Metrics | None = None,
+    ) -> None:
         self._targets = targets
+        self._origins = origins
         self._clock = clock
+        self._metrics = metrics or Metrics()
 
     def open(
         self, call: ForwardedCall
     ) -> tuple[Sequence[tuple[str, str]], Iterator[bytes]]:
         """Returns the first target's headers and an iterator over the events.
 
+        Waits for the first event: until then the stream may begin at any
+        target.
+
         Raises:
-            HibiscusError: No target started the stream, or the caller has
-                disconnected.
+            HibiscusError: No target started the stream, none may resume it,
+                or the caller has disconnected.
         """
-        stream = _ForwardedStream(self._targets, self._clock, call)
+        stream = _ForwardedStream(
+            self._targets, self._origins, self._clock, call
+        )
         try:
-            headers = stream.start()
+            stream.bind_to_origin()
+            headers = stream.begin()
         except _CallerDisconnectedError:
             raise HibiscusError(
                 ErrorKind.CANCELLED, "The caller has disconnected."
             ) from None
+        except HibiscusError as error:
+            if call.is_resumption:
+                self._metrics.resumed_streams.labels(str(error.kind)).inc()
+            raise
+        if call.is_resumption:
+            self._metrics.resumed_streams.labels("resumed").inc()
         return headers, stream.event_batches()
 
 
 class _ForwardedStream:
     def __init__(
-        self, targets: DiscoveredTargets, clock: Clock, call: ForwardedCall
+        self,
+        targets: DiscoveredTargets,
+        origins: StreamExchange,
+        clock: Clock,
+        call: ForwardedCall,
     ) -> None:
         self._targets = targets
+        self._origins = origins
         self._clock = clock
         self._crashes = targets.crashes
         self._call = call
+        # What generated the first event; only its targets may go on.
+        self._begun_by: Software | None = None
         self._tried: list[str] = []
         self._may_have_run = 0
         self._last_event_number = 0
         self._sent_at = 0.0
+        self._refused_until = 0.0
         self._target: DiscoveredTarget | None = None
         self._events: EventStream | None = None
+        self._first_events: list[ServerSentEvent] = []
+        self._last_error: TargetError | None = None
+
+    def bind_to_origin(self) -> None:
+        """Finds out what began the stream that the caller takes up again.
+
+        Raises:
+            HibiscusError: `STREAM_NOT_RESUMABLE`, if that is unknown or its
+                service no longer serves the route.
+        """
+        call = self._call
+        if not call.is_resumption:
+            return
+        self._begun_by = self._origins.find(call.resumes)
+        if self._begun_by is None:
+            self._refuse_resumption("no instance knows what began it")
+        elif self._begun_by.service not in call.route.weight_by_service:
+            self._refuse_resumption("its service no longer serves the route")
+        else:
+            self._call = call._replace(
+                service=self._begun_by.service,
+                request=call.request._replace(urgency=STARTED_URGENCY),
+            )
+
+    def _refuse_resumption(self, reason: str) -> NoReturn:
+        _log.info(
+            "Stream not resumed.",
+            extra={
+                "request_id": self._call.request.request_id,
+                "resumes": self._call.resumes,
+                "after": self._last_event_number or self._call.resumed_after,
+                "begun_by": self._begun_by,
+                "reason": reason,
+            },
+        )
+        if self._may_have_run:
+            raise self._start_error(self._last_error)
+        raise HibiscusError(
+            ErrorKind.STREAM_NOT_RESUMABLE,
+            f"The stream can't go on: {reason}; begin it anew.",
+        )
+
+    def begin(self) -> Sequence[tuple[str, str]]:
+        """Opens the stream and waits for its first events.
+
+        Returns:
+            The headers of the target that generated them.
+        """
+        while True:
+            headers = self.start()
+            try:
+                self._first_events = self._read()
+            except TargetError as error:
+                self._end_attempt(error)
+                if not self._call.route.resumable:
+                    raise self._start_error(error) from error
+                continue
+            except BaseException:
+                self._close()
+                raise
+            self._record_origin()
+            return headers
+
+    def _record_origin(self) -> None:
+        """Tells others what began the stream, before its first event leaves."""
+        if not self._first_events or self._begun_by is not None:
+            return
+        if self._target is None:
+            return
+        self._begun_by = self._target.software
+        if self._call.route.resumable and self._begun_by.version:
+            self._origins.record(
+                self._call.request.request_id,
+                self._begun_by,
+                self._call.deadline,
+            )
 
     def start(self) -> Sequence[tuple[str, str]]:
         """Opens the stream on a target."""
-        error: TargetError | None = None
+        if self._begun_by is not None:
+            self._refused_until = self._clock.monotonic() + RESUME_TIMEOUT_S
         while self._may_start():
             self._crashes.check(
                 self._call.fingerprint, self._call.request.request_id
@@ -87,9 +201,9 @@
             try:
                 return self._open(target)
             except TargetError as failure:
-                error = failure
+                self._last_error = failure
                 self._record_failure(target, failure)
-        raise self._start_error(error)
+        raise self._start_error(self._last_error)
 
     def _start_request(self) -> DiscoveredTarget | None:
         """Returns the next target, once its request limit allows a request."""
@@ -97,7 +211,7 @@
         send = Send(call.request.request_id, Purpose.STREAM)
         while True:
             now = self._clock.monotonic()
-            views = self._targets.views(call.service)
+            views = self._usable_views()
             is_suspect = (
                 self._crashes.verdict(call.fingerprint) is not Verdict.NORMAL
             )
@@ -107,18 +221,59 @@
             target = self._targets.get(view.name) if view else None
             if target is not None and self._targets.try_start(target, send):
                 return target
-            wait_s = self._targets.limits.wait_s(call.service)
-            if now + wait_s >= call.deadline or not any(
-                view.is_limited and view.name not in self._tried
-                for view in views
-            ):
+            if self._may_wait_for_slot(views, now):
+                self._tried.clear()
+                time.sleep(REFUSAL_BACKOFF_S)
+            elif self._wait_for_tokens(views, now):
+                time.sleep(queueing.POLL_PERIOD_S)
+            else:
                 return None
-            self._targets.request_tokens(
-                call.request.request_id, call.service, Demand(live=1), views
-            )
-            time.sleep(queueing.POLL_PERIOD_S)
             self._check_caller_connected()
 
+    def _usable_views(self) -> list[TargetView]:
+        """Returns the targets that may begin or continue the stream."""
+        views = self._targets.views(self._call.service)
+        if self._begun_by is None:
+            return views
+        usable = [
+            view
+            for view in views
+            if may_continue(self._begun_by, view.software)
+        ]
+        if not usable:
+            self._refuse_resumption("no target of its software version is left")
+        return usable
+
+    def _may_wait_for_slot(
+        self, views: Sequence[TargetView], now: float
+    ) -> bool:
+        """Returns whether a stream with events waits for a free slot.
+
+        Its callers wait for its next event for as long.
+        """
+        error = self._last_error
+        return (
+            self._begun_by is not None
+            and error is not None
+            and error.refused
+            and not error.draining
+            and all(view.name in self._tried for view in views)
+            and now < min(self._refused_until, self._call.deadline)
+        )
+
+    def _wait_for_tokens(self, views: Sequence[TargetView], now: float) -> bool:
+        """Asks for tokens; returns whether they may come in time."""
+        call = self._call
+        wait_s = self._targets.limits.wait_s(call.service)
+        if now + wait_s >= call.deadline or not any(
+            view.is_limited and view.name not in self._tried for view in views
+        ):
+            return False
+        self._targets.request_tokens(
+            call.request.request_id, call.service, Demand(live=1), views
+        )
+        return True
+
     def _may_start(self) -> bool:
         route = self._call.route
         max_attempts = route.max_attempts if route.resumable else 1
@@ -206,7 +361,7 @@
         try:
             while True:
                 try:
-                    events = self._read()
+                    events = self._next_events()
                 except TargetError as error:
                     self._resume(error)
                     continue
@@ -228,6 +383,10 @@
         finally:
             self._close()
 
+    def _next_events(self) -> list[ServerSentEvent]:
+        events, self._first_events = self._first_events, []
+        return events or self._read()
+
     def _read(self) -> list[ServerSentEvent]:
         if self._events is None:
             raise TargetError("the stream is not open", sent=False)
@@ -235,11 +394,12 @@
 
     def _resume(self, error: TargetError) -> None:
         """Resumes on another target, or raises the error."""
-        if self._target is not None:
-            self._record_failure(self._target, error)
-        self._close()
-        if not self._call.route.resumable:
+        self._end_attempt(error)
+        if not self._call.route.resumable or not self._last_event_number:
             raise error
+        self._call = self._call._replace(
+            request=self._call.request._replace(urgency=STARTED_URGENCY)
+        )
         try:
             self.start()
         except HibiscusError:
@@ -253,6 +413,12 @@
             },
         )
 
+    def _end_attempt(self, error: TargetError) -> None:
+        self._last_error = error
+        if self._target is not None:
+            self._record_failure(self._target, error)
+        self._close()
+
     def _close(self) -> None:
         if self._events is not None:
             self._events.close()
