Check with processes that streams go on at the version that began them

Twelve streams of two software versions at an instance that is killed after ten events; each is taken up at the other instance, goes on whole and holds events of one version, and a stream that nobody knows is refused as not run. The stand-in of an engine names its software version in each event.

--- /dev/null
+++ b/features/software_versions_fleet.feature
@@ -0,0 +1,9 @@
+@platform
+Feature: Streams of two software versions, with processes
+
+  Scenario: streams go on at the version that began them after their instance is killed
+    Given two further engines have software version v2
+    And 12 streams of 150 events begin at edge-0, and each has brought 10 events
+    When edge-0 is killed, and the streams are taken up at edge-1
+    Then all 12 streams are whole, and none holds events of two versions
+    And a stream that nobody knows is refused as not run by edge-1
--- /dev/null
+++ b/features/steps/software_versions_fleet_steps.py
@@ -0,0 +1,135 @@
+"""Steps on streams of two software versions, with processes."""
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+
+from hibiscuspin.clock import monotonic
+from hibiscuspin.edges import TargetError
+from hibiscuspin.edges.http import HttpStream, do_nothing
+from standins.platform_fleet import MODEL, PlatformFleet
+
+LINE_TIMEOUT_S = 3.0
+STREAM_TIMEOUT_S = 10.0
+OK_STATUS = 200
+NOT_RUN_STATUS = 503
+
+
+class ProcessStream:
+    """A caller's stream over its tries at instance processes.
+
+    Attributes:
+        request_id: The id of the first request.
+        events: How many events it is to have.
+        numbers: The numbers of the events that the caller has.
+        versions: The software versions that wrote them.
+        response: The response of the latest request.
+        refusal: Its body if it is not a stream.
+    """
+
+    def __init__(self, request_id: str, events: int) -> None:
+        self.request_id = request_id
+        self.events = events
+        self.numbers: list[int] = []
+        self.versions: set[str] = set()
+        self.response: HttpStream | None = None
+        self.refusal = b""
+
+    def open(self, platform: PlatformFleet, name: str) -> None:
+        """Opens the stream, or takes it up after its last event."""
+        after = len(self.numbers)
+        request_id = f"{self.request_id}-again" if after else self.request_id
+        self.response = platform.open_stream(
+            name, request_id, self.events, self.request_id, after
+        )
+
+    def read(self, count: int | None) -> None:
+        """Reads at least `count` further events, or all to the end."""
+        assert self.response is not None
+        if self.response.status != OK_STATUS:
+            self.refusal = self.response.read()
+            return
+        end = None if count is None else len(self.numbers) + count
+        stop_at = monotonic() + STREAM_TIMEOUT_S
+        while end is None or len(self.numbers) < end:
+            lines = self.response.read_lines(
+                stop_at, LINE_TIMEOUT_S, do_nothing
+            )
+            if not lines:
+                return
+            for line in lines:
+                self._read_line(line.decode().strip())
+
+    def _read_line(self, line: str) -> None:
+        if line.startswith(": "):
+            self.versions.add(line.removeprefix(": "))
+        elif line.startswith("id: "):
+            self.numbers.append(int(line.removeprefix("id: ")))
+
+
+@given("two further engines have software version v2")
+def add_engines(context: Any) -> None:
+    platform: PlatformFleet = context.platform
+    names = ("e-v2-0", "e-v2-1")
+    for name in names:
+        platform.start_target(name, "llm", MODEL, software="v2")
+    platform.wait_discovered(names)
+
+
+@given(
+    "{count:d} streams of {events:d} events begin at {name}, and each has "
+    "brought {read:d} events"
+)
+def begin(context: Any, count: int, events: int, name: str, read: int) -> None:
+    context.streams = [ProcessStream(f"s{n}", events) for n in range(count)]
+
+    # One by one, so that each is placed by the load of those before it.
+    for stream in context.streams:
+        stream.open(context.platform, name)
+    with ThreadPoolExecutor(count) as executor:
+        list(executor.map(lambda stream: stream.read(read), context.streams))
+    versions = [stream.versions for stream in context.streams]
+    assert {"v1"} in versions and {"v2"} in versions, versions
+
+
+@when("{name} is killed, and the streams are taken up at {other}")
+def kill_and_take_up(context: Any, name: str, other: str) -> None:
+    platform: PlatformFleet = context.platform
+    platform.instance_by_name[name].process.kill()
+
+    def take_up(stream: ProcessStream) -> None:
+        try:
+            stream.read(None)
+        except TargetError:
+            stream.open(platform, other)
+            stream.read(None)
+
+    with ThreadPoolExecutor(len(context.streams)) as executor:
+        list(executor.map(take_up, context.streams))
+
+
+@then("all {count:d} streams are whole, and none holds events of two versions")
+def check_streams(context: Any, count: int) -> None:
+    assert len(context.streams) == count
+    for stream in context.streams:
+        assert len(stream.versions) == 1, (stream.request_id, stream.versions)
+        assert stream.numbers == list(range(1, stream.events + 1)), (
+            stream.request_id,
+            stream.response.status,
+            stream.refusal,
+            stream.numbers,
+        )
+
+
+@then("a stream that nobody knows is refused as not run by {name}")
+def check_unknown(context: Any, name: str) -> None:
+    stream = ProcessStream("unknown", 20)
+    stream.numbers = [1, 2]
+    stream.open(context.platform, name)
+    assert stream.response is not None
+    assert stream.response.status == NOT_RUN_STATUS, stream.response.status
+    body = msgspec.json.decode(stream.response.read())
+    assert body["error"]["code"] == "stream_not_resumable", body
+    assert body["error"]["ran"] == "no", body
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -8,6 +8,8 @@
 
 A call whose path ends with `CRASHING_SUFFIX` ends the process.
 
+Each event names the target's software version in a comment line.
+
 A target that is draining says so in its entry and in all its responses.
 
 Faults under `extra`:
@@ -115,7 +117,7 @@
             "service": args.service,
             "address": str(args.advertised or args.address),
             "zone": args.zone,
-            "version": "v1",
+            "version": args.software,
             "slots": args.slots,
             "state": state,
             "cold_left_ms": 0,
@@ -265,6 +267,7 @@
                 if self._version != version:
                     version = self._version
                     line = f"x-weight-versions: {version}\n"
+                line += f": {self._args.software}\n"
                 event = f"{line}id: {number}\ndata: {request_id}-{number}\n\n"
                 if number == last:
                     self._run_records.append(
@@ -293,6 +296,7 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--model", default="")
     parser.add_argument("--version", type=int, default=1)
+    parser.add_argument("--software", default="v1")
     parser.set_defaults(threads=THREADS)
     args = parser.parse_args()
     faults = Faults()
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -5,7 +5,7 @@
 import os
 import pathlib
 import time
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
 import msgspec
@@ -14,7 +14,7 @@
 from bench.fleet import Fleet, Process, free_address, wait_for
 from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
-from hibiscuspin.edges.http import HttpClient, HttpResponse
+from hibiscuspin.edges.http import HttpClient, HttpResponse, HttpStream
 from hibiscuspin.settings import Address
 from soak.proxy import Proxy
 
@@ -30,6 +30,7 @@
 MODEL = "m1"
 JOBS_PREFIX = "/jobs/"
 CALLS_PREFIX = "/calls/"
+STREAMS_PREFIX = "/streams/"
 REWARD_PATH = f"{CALLS_PREFIX}reward"
 FAILING_REWARD_PATH = f"{CALLS_PREFIX}reward/fails"
 GRACE_S = 8
@@ -131,13 +132,26 @@
         )
 
     def start_target(
-        self, name: str, service: str, model: str, version: int = 1
+        self,
+        name: str,
+        service: str,
+        model: str,
+        version: int = 1,
+        software: str = "v1",
     ) -> None:
-        """Starts a model engine, or a plain service if `model` is empty."""
+        """Starts a model engine, or a plain service if `model` is empty.
+
+        Args:
+            name: The target's name.
+            service: Its service.
+            model: The model whose weights it serves.
+            version: The version of these weights.
+            software: The version of the target's own software.
+        """
         self._target_names.add(name)
         flags = ["--name", name, "--service", service, "--zone", "cba-a"]
         flags += ["--store", str(self.store), "--model", model]
-        flags += ["--version", str(version)]
+        flags += ["--version", str(version), "--software", software]
         if self._proxied:
             address = self._fleet.address(name)
             proxy = self._proxy(f"{name} link", address)
@@ -200,7 +214,7 @@
             "op/config",
             {
                 "version": self._config_version,
-                "routes": [_JOB_ROUTE, *routes],
+                "routes": [_JOB_ROUTE, _STREAM_ROUTE, *routes],
                 "services": [
                     {"name": "llm", "engine": {"stride": 1}},
                     {"name": "app"},
@@ -310,6 +324,16 @@
                 f"the first call at {name}",
             )
 
+    def wait_discovered(self, targets: Collection[str]) -> None:
+        """Waits until all instances have logged that they know some targets."""
+        for instance in self.instance_by_name.values():
+            log_path = instance.process.log_path
+            wait_for(
+                lambda path=log_path: _names_all(path.read_text(), targets),  # type: ignore[misc]
+                START_TIMEOUT_S,
+                f"the discovery of targets by {instance.name}",
+            )
+
     def _serves_calls(self, name: str) -> bool:
         try:
             response = self.call(name, "POST", f"{CALLS_PREFIX}x", "start")
@@ -357,6 +381,37 @@
             },
         )
 
+    def open_stream(
+        self, name: str, request_id: str, events: int, resumes: str, after: int
+    ) -> HttpStream:
+        """Opens or resumes a caller's stream at an instance.
+
+        Args:
+            name: Name of the instance.
+            request_id: Id of this request.
+            events: Number of the stream's events.
+            resumes: Id of the request that brought the first event; empty for
+                a new stream.
+            after: Number of the last event that the caller has.
+        """
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "8000",
+            "X-Model": MODEL,
+            "X-Token-Count": f"9,{events}",
+        }
+        if after:
+            headers |= {"Resumes": resumes, "Last-Event-Id": str(after)}
+        return self.instance_by_name[name].caller_client.open(
+            "POST",
+            f"{STREAMS_PREFIX}x",
+            monotonic() + CALL_TIMEOUT_S,
+            body=b"prompt",
+            headers=headers,
+            fresh=True,
+        )
+
     def submit_job(
         self,
         name: str,
@@ -444,6 +499,10 @@
         return rows
 
 
+def _names_all(log: str, targets: Collection[str]) -> bool:
+    return all(f'"target": "{name}"' in log for name in targets)
+
+
 def reward_id(item: str) -> str:
     """Returns the id of an item's reward call."""
     return f"r-{item}"
@@ -465,6 +524,19 @@
 }
 
 
+_STREAM_ROUTE = {
+    "name": "streams",
+    "host": HOST,
+    "prefix": STREAMS_PREFIX,
+    "type": "streaming",
+    "timeout_ms": 10000,
+    "slo_ms": 500,
+    "service": "llm",
+    "max_attempts": 3,
+    "resumable": True,
+}
+
+
 def _call_route(name: str, service: str) -> dict[str, Any]:
     return {
         "name": name,
