--- a/hibiscuspin/tasks/report_exchange.py
+++ b/hibiscuspin/tasks/report_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple, Protocol
 
@@ -75,6 +76,7 @@
         instances: Instances,
         peers: PeerHttpClient,
         clock: Clock,
+        recipients: Callable[[], list[LiveInstance]] | None = None,
     ) -> None:
         """Creates the exchange.
 
@@ -85,12 +87,14 @@
             instances: The other instances.
             peers: Makes the calls to them.
             clock: The time source.
+            recipients: Returns the instances to tell; all others by default.
         """
         self._subject = subject
         self._records = records
         self._instances = instances
         self._peers = peers
         self._clock = clock
+        self._recipients = recipients or instances.others
         self._lock = threading.Lock()
         self._pending_by_name: dict[str, list[_PendingReport]] = {}
         # Instances that are being told; one call at a time each.
@@ -157,7 +161,7 @@
             return
         report = _PendingReport(body, self._clock.monotonic() + REPORT_TTL_S)
         with self._lock:
-            for member in self._instances.others():
+            for member in self._recipients():
                 pending = self._pending_by_name.setdefault(member.name, [])
                 pending.append(report)
 
--- a/hibiscuspin/tasks/stream_exchange.py
+++ b/hibiscuspin/tasks/stream_exchange.py
@@ -31,6 +31,10 @@
 MAX_PARALLEL_FINDS = 16
 # How many instances are asked for a stream, this data centre's first.
 MAX_ASKED = 64
+# How many are told of it, in this data centre and elsewhere. Callers come back
+# to the same data centre unless it is lost.
+MAX_TOLD_NEAR = 6
+MAX_TOLD_ELSEWHERE = 3
 # Streams that begin within this time are told in one call.
 BATCH_PERIOD_S = 0.005
 IDLE_PERIOD_S = 5.0
@@ -58,7 +62,7 @@
         self._peers = peers
         self._clock = clock
         self._exchange = ReportExchange(
-            "streams", origins, instances, peers, clock
+            "streams", origins, instances, peers, clock, self._recipients
         )
         self._executor = ThreadPoolExecutor(
             MAX_PARALLEL_FINDS, thread_name_prefix="find-stream"
@@ -114,6 +118,13 @@
                 extra={"request_id": request_id, "others": len(others)},
             )
 
+    def _recipients(self) -> list[LiveInstance]:
+        own = self._instances.member.data_centre
+        others = self._instances.others()
+        near = [member for member in others if member.data_centre == own]
+        elsewhere = [member for member in others if member.data_centre != own]
+        return near[:MAX_TOLD_NEAR] + elsewhere[:MAX_TOLD_ELSEWHERE]
+
     def find(self, request_id: str) -> Software | None:
         """Returns what began a stream; asks others if this instance must.
 
