Let a begun sample wait for its software version if it ends sooner

Placement now compares the finish after waiting with that of beginning anew, and a sample that waits does not keep the next one from starting.

--- a/hibiscuspin/decisions/placement.py
+++ b/hibiscuspin/decisions/placement.py
@@ -26,6 +26,7 @@
 # How many started samples, which are sent as urgent, may queue at a target.
 # Of a dozen slots, one becomes free within a tenth of a second.
 MAX_STARTED_QUEUE = 3
+SLOT_WAIT_S = 0.1
 
 
 class TargetView(NamedTuple):
@@ -173,16 +174,39 @@
 
     Processing a shared prompt takes little time compared with generating the
     sample. The preferred target therefore only decides between targets with
-    about the same expected finish. At a target that can't go on from the
-    sample's events, they have to be generated again.
+    about the same expected finish.
+
+    At a target that can't go on from the sample's events, they have to be
+    generated again. Where it finishes sooner by waiting for one that can, and
+    none of these has room, none is returned.
     """
+    capable = [
+        view
+        for view in views
+        if view.version >= requirements.oldest_version and view.sends >= 1
+    ]
+    keeping = [view for view in capable if requirements.keeps_events(view)]
+    others = [view for view in capable if not requirements.keeps_events(view)]
+    other = _best_with_room(others, requirements, now)
+    if not keeping:
+        return other
+    finish_s = min(
+        _wait_s(view, requirements, now) + _finish_s(view, requirements)
+        for view in keeping
+    )
+    if other is not None and _finish_s(other, requirements) < finish_s:
+        return other
+    return _best_with_room(keeping, requirements, now)
+
+
+def _best_with_room(
+    views: Sequence[TargetView], requirements: SampleRequirements, now: float
+) -> TargetView | None:
     suitable = [
         view
         for view in views
         if view.free_slots >= _min_free_slots(view, requirements)
-        and view.version >= requirements.oldest_version
         and view.backoff_until <= now
-        and view.sends >= 1
     ]
     not_avoided = [
         view for view in suitable if view.name not in requirements.avoid
@@ -194,6 +218,14 @@
     )
 
 
+def _wait_s(
+    view: TargetView, requirements: SampleRequirements, now: float
+) -> float:
+    """Returns how long a sample would wait for a place at a target."""
+    missing = _min_free_slots(view, requirements) - view.free_slots
+    return max(0.0, view.backoff_until - now) + max(0, missing) * SLOT_WAIT_S
+
+
 def _min_free_slots(view: TargetView, requirements: SampleRequirements) -> int:
     return 1 - MAX_STARTED_QUEUE if requirements.keeps_events(view) else 1
 
@@ -201,15 +233,22 @@
 def _sample_key(
     view: TargetView, requirements: SampleRequirements
 ) -> tuple[bool, bool, float, bool, float, str]:
-    load = (view.slots - view.free_slots) / max(1, view.slots)
-    event_s = view.event_s * (1 + (FULL_LOAD_SLOWDOWN_FACTOR - 1) * load)
-    events = requirements.events_at(view)
-    finish_s = round(events * event_s + view.link_s, 1)
     return (
         view.free_slots <= 0,
         view.is_limited,
-        finish_s,
+        round(_finish_s(view, requirements), 1),
         view.name != requirements.preferred_target,
-        load,
+        _load(view),
         view.name,
     )
+
+
+def _load(view: TargetView) -> float:
+    return (view.slots - view.free_slots) / max(1, view.slots)
+
+
+def _finish_s(view: TargetView, requirements: SampleRequirements) -> float:
+    """Returns how long a target takes for the rest of a sample."""
+    slowdown = 1 + (FULL_LOAD_SLOWDOWN_FACTOR - 1) * _load(view)
+    events = requirements.events_at(view)
+    return events * view.event_s * slowdown + view.link_s
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -395,6 +395,9 @@
             view = self._choose_target(
                 waiting_by_index[index], views_by_name, now
             )
+            if view is None and waiting_by_index[index].events:
+                # It may wait for a target that can go on from its events.
+                continue
             if view is None or not self._start_run(
                 waiting_by_index[index], view
             ):
