Tell a failure of a target from lost links of the instance in the logs

An instance that reaches no target logged failures of each target, as if these were at fault. It now keeps which targets have not answered since any one did, tries others while in doubt (three connections each quarter of a second), and logs when none answers and when one does again; the gauge hibiscuspin_targets_reached shows it. No decision uses it yet.

--- /dev/null
+++ b/hibiscuspin/decisions/reach.py
@@ -0,0 +1,74 @@
+"""Whether an instance has lost its links to all targets.
+
+Load pattern: an instance is cut off from all targets for seconds, while
+callers, the store and other instances still reach it. Connections hang, are
+reset, or live on while new ones are refused. A target that does not answer is
+at fault by itself; if none has answered since, the links of the instance are.
+"""
+
+from typing import NamedTuple
+
+__all__ = [
+    "Reach",
+    "after_answer",
+    "after_unanswered",
+    "is_doubtful",
+    "is_isolated",
+]
+
+# Two targets may end together; a third does so rarely, and a mistake ends with
+# the next answer.
+MIN_UNANSWERED_TARGETS = 3
+# Jobs and duties move only after this long, since a move costs more than a
+# request through another instance.
+ISOLATION_S = 0.6
+
+
+class Reach(NamedTuple):
+    """What an instance knows of its links to targets.
+
+    Attributes:
+        answered_at: When any target last answered, in monotonic time.
+        unanswered: The targets that have not answered since then.
+        doubtful_since: Since when there have been too many of them; None if
+            there are not.
+    """
+
+    answered_at: float = float("-inf")
+    unanswered: frozenset[str] = frozenset()
+    doubtful_since: float | None = None
+
+
+def after_answer(now: float) -> Reach:
+    """Returns the reach after an answer of any target."""
+    return Reach(answered_at=now)
+
+
+def after_unanswered(
+    reach: Reach, target: str, known: int, now: float
+) -> Reach:
+    """Returns the reach after a target did not answer.
+
+    Args:
+        reach: The reach before.
+        target: The target.
+        known: How many targets are known.
+        now: The monotonic time.
+    """
+    unanswered = reach.unanswered | {target}
+    is_lost = len(unanswered) >= min(MIN_UNANSWERED_TARGETS, known)
+    since = reach.doubtful_since
+    if is_lost and since is None:
+        since = now
+    return reach._replace(unanswered=unanswered, doubtful_since=since)
+
+
+def is_doubtful(reach: Reach) -> bool:
+    """Returns whether requests should go through another instance."""
+    return reach.doubtful_since is not None
+
+
+def is_isolated(reach: Reach, now: float) -> bool:
+    """Returns whether other instances should take jobs and duties over."""
+    since = reach.doubtful_since
+    return since is not None and now >= since + ISOLATION_S
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -3,7 +3,7 @@
 import threading
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
@@ -54,6 +54,13 @@
             registry=self._registry,
         )
 
+        self.targets_reached = Gauge(
+            "hibiscuspin_targets_reached",
+            "0 while no target answers this instance, else 1.",
+            registry=self._registry,
+        )
+        self.targets_reached.set(1)
+
         self.resumed_streams = Counter(
             "hibiscuspin_resumed_streams",
             "Streams that callers took up again, by error code or `resumed`.",
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -47,6 +47,7 @@
 from hibiscuspin.tasks.stream_origins import StreamOrigins
 from hibiscuspin.tasks.supervisor import Supervisor, Task
 from hibiscuspin.tasks.target_exchange import TargetExchange
+from hibiscuspin.tasks.target_reach import ReachProbes
 from hibiscuspin.tasks.weight_orders import WeightOrders
 
 __all__ = ["EdgeInstance"]
@@ -348,6 +349,11 @@
             self._limit_shares,
             self._crash_exchange,
             self._stream_exchange,
+            ReachProbes(
+                self._targets.reach,
+                self._targets.accepting_work,
+                self._clock,
+            ),
             WeightOrders(
                 self._instances,
                 self._targets,
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -22,6 +22,7 @@
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.tasks.crash_reports import CrashReports
 from hibiscuspin.tasks.target_limits import Incarnation, Send, TargetLimits
+from hibiscuspin.tasks.target_reach import TargetReach
 
 __all__ = [
     "CRASH_RECHECK_S",
@@ -96,6 +97,14 @@
         """The target's name."""
         return self.record.name
 
+    def is_listening(self, deadline: float) -> bool:
+        """Returns whether its address accepts a connection.
+
+        Raises:
+            TargetError: It neither accepted nor refused one by the deadline.
+        """
+        return self.client.is_listening(deadline)
+
     @property
     def software(self) -> Software:
         """What generates the events of its streams."""
@@ -149,6 +158,7 @@
         metrics = metrics or Metrics()
         self.limits = TargetLimits(clock, metrics)
         self.crashes = CrashReports(clock, metrics)
+        self.reach = TargetReach(clock, metrics)
         self._lock = threading.Lock()
         self._targets_by_name: dict[str, DiscoveredTarget] = {}
         self._load_by_instance: dict[str, _PeerLoad] = {}
@@ -192,6 +202,7 @@
                 )
             for record in records_by_name.values():
                 self._upsert(record)
+            self.reach.set_known(len(self._targets_by_name))
             self._draining_by_name = {
                 name: target
                 for name, target in self._draining_by_name.items()
@@ -285,6 +296,10 @@
                 if target.record.service == service and target.accepts_work
             ]
 
+    def accepting_work(self) -> list[DiscoveredTarget]:
+        """Returns the targets of all services that accept new work."""
+        return [target for target in self.all() if target.accepts_work]
+
     def all(self) -> list[DiscoveredTarget]:
         """Returns all targets, including those that are draining."""
         with self._lock:
@@ -457,6 +472,7 @@
         event_s: float | None = None,
     ) -> None:
         """Records a complete response, or a stream's time per event."""
+        self.reach.record_answer()
         now = self._clock.monotonic()
         with self._lock:
             target.health = ejection.after_success(target.health)
@@ -471,9 +487,24 @@
                 )
 
     def record_error(
-        self, target: DiscoveredTarget, error: TargetError, request_id: str
+        self,
+        target: DiscoveredTarget,
+        error: TargetError,
+        request_id: str,
+        sent_at: float,
     ) -> None:
-        """Updates a target's state after a failed attempt of a request."""
+        """Updates a target's state after a failed attempt of a request.
+
+        Args:
+            target: The target.
+            error: How the attempt ended.
+            request_id: The request's id.
+            sent_at: When the attempt started, in monotonic time.
+        """
+        if error.refused or error.status:
+            self.reach.record_answer()
+        elif error.silent or not error.sent:
+            self.reach.record_unanswered(target.name, sent_at)
         # The client sets `draining` if the target responded with status 421.
         if error.draining:
             self.remove_misdirected(target)
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -468,7 +468,10 @@
         if error.refused or not error.sent:
             self._may_have_run -= 1
         self._targets.record_error(
-            result.target, error, self._call.request.request_id
+            result.target,
+            error,
+            self._call.request.request_id,
+            self._clock.monotonic() - result.took_s,
         )
 
     def _rejection(self, action: attempts.Action) -> HibiscusError:
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -139,6 +139,8 @@
         detail: Why the run failed, for the log.
         created_at: When it was created, in monotonic time.
         first_event_at: When its first event was read; None before that.
+        last_answer_at: When the target last sent something, or the run was
+            created, in monotonic time.
     """
 
     def __init__(
@@ -159,6 +161,7 @@
         self.detail = ""
         self.created_at = clock.monotonic()
         self.first_event_at: float | None = None
+        self.last_answer_at = self.created_at
 
     def run(self) -> RunOutcome:
         """Appends events to the sample until the run ends."""
@@ -239,6 +242,7 @@
             self._raise_if_stopped()
             events = stream.read(self._wait_limits(stall_s))
             now = self._clock.monotonic()
+            self.last_answer_at = now
             if not events:
                 break
             for event in events:
@@ -298,5 +302,7 @@
         outcome = OUTCOME_BY_STATUS.get(error.status)
         if outcome is not None and not error.refused:
             return outcome
-        self._targets.record_error(self.target, error, self.sample.item.name)
+        self._targets.record_error(
+            self.target, error, self.sample.item.name, self.last_answer_at
+        )
         return RunOutcome.REFUSED if error.refused else RunOutcome.BROKEN
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -106,6 +106,8 @@
         self._may_have_run = 0
         self._last_event_number = 0
         self._sent_at = 0.0
+        # When the target last sent something, or got the request.
+        self._answered_at = 0.0
         self._refused_until = 0.0
         self._target: DiscoveredTarget | None = None
         self._events: EventStream | None = None
@@ -285,7 +287,7 @@
 
     def _open(self, target: DiscoveredTarget) -> Sequence[tuple[str, str]]:
         self._may_have_run += 1
-        self._sent_at = self._clock.monotonic()
+        self._sent_at = self._answered_at = self._clock.monotonic()
         try:
             events = target.client.open_stream(
                 self._call.request, self._last_event_number, self._read_limits()
@@ -327,7 +329,7 @@
         if self._record_if_crashed(target, error):
             time.sleep(CRASH_RECHECK_S)
             self._record_if_crashed(target, error)
-        self._targets.record_error(target, error, request_id)
+        self._targets.record_error(target, error, request_id, self._answered_at)
 
     def _record_if_crashed(
         self, target: DiscoveredTarget, error: TargetError
@@ -390,7 +392,9 @@
     def _read(self) -> list[ServerSentEvent]:
         if self._events is None:
             raise TargetError("the stream is not open", sent=False)
-        return self._events.read(self._read_limits())
+        events = self._events.read(self._read_limits())
+        self._answered_at = self._clock.monotonic()
+        return events
 
     def _resume(self, error: TargetError) -> None:
         """Resumes on another target, or raises the error."""
--- a/hibiscuspin/tasks/weight_orders.py
+++ b/hibiscuspin/tasks/weight_orders.py
@@ -280,10 +280,15 @@
         return version
 
     def _read_state(self, target: DiscoveredTarget) -> TargetState | None:
-        deadline = self._clock.monotonic() + CALL_TIMEOUT_S
+        sent_at = self._clock.monotonic()
+        reach = self._targets.reach
         try:
-            return target.client.fetch_state(deadline)
+            state = target.client.fetch_state(sent_at + CALL_TIMEOUT_S)
+            reach.record_answer()
+            return state
         except TargetError as error:
+            if error.silent or not error.sent:
+                reach.record_unanswered(target.name, sent_at)
             _log.info(
                 "Engine did not report its state.",
                 extra={"target": target.name, "reason": str(error)},
