--- /dev/null
+++ b/features/isolated_instances.feature
@@ -0,0 +1,66 @@
+Feature: Callers of an instance that reaches no target are served through others
+
+  Scenario Outline: calls at <cut>, whose links <fault>
+    Given instances a, b and c before 4 engines of 12 places
+    When calls come at each instance for 5 s, while from 1 s to 4 s the links of <cut> <fault>
+    Then nine tenths of the calls at each instance are served
+    And those at <cut> from 1 s after the cut are answered within 0.6 s each
+    And no call that must not be repeated ran twice
+    And no refused call has run
+    And no target counts as crashed
+    And each instance sends to targets itself again at the end
+
+    Examples:
+      | cut     | fault  |
+      | a       | hang   |
+      | a       | refuse |
+      | a       | reset  |
+      | a       | keep   |
+      | a and b | hang   |
+      | a and b | refuse |
+
+  Scenario Outline: streams at an instance whose links <fault>
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    And the links of a <fault>
+    When 12 streams of 40 events are read at a to their end
+    Then all of the 12 streams were whole at the end
+    And no stream holds events of two software versions
+
+    Examples:
+      | fault  |
+      | hang   |
+      | refuse |
+
+  Scenario: streams go on through another instance when the links are lost
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    When 12 streams of 300 events are read at a, whose links hang after 0.3 s
+    Then all of the 12 streams were whole at the end
+    And no stream holds events of two software versions
+
+  Scenario Outline: a job at an instance whose links <fault> is finished by others
+    Given instances a, b and c before 4 engines of 12 places
+    When a accepts a job of 4 groups of 8 samples with 100 events
+    And after 0.1 s the links of a <fault>
+    Then all results of the job are listed within 6 s
+    And another instance than a held the job at the end
+
+    Examples:
+      | fault  |
+      | hang   |
+      | refuse |
+
+  Scenario: a job that arrives at an instance without links is held elsewhere
+    Given instances a, b and c before 4 engines of 12 places
+    And the links of a hang
+    And a has noticed that
+    When a accepts a job of 4 groups of 8 samples with 40 events
+    Then all results of the job are listed within 4 s
+    And another instance than a held the job at the end
+
+  Scenario: targets that fail while others answer say nothing of the links
+    Given instances a, b and c before 4 engines of 12 places
+    When calls come at each instance for 2 s, while t0 and t1 are unreachable
+    Then nine tenths of the calls at each instance are served
+    And no instance took its links for lost
--- /dev/null
+++ b/features/steps/isolated_instances_steps.py
@@ -0,0 +1,260 @@
+"""Steps on instances that lose their links to all targets."""
+
+import random
+import threading
+import time
+from typing import Any, NamedTuple
+
+from behave import given, then, when
+
+from features.platform_fakes import SERVICE, MemoryFleet
+from features.steps.platform_calls_steps import route
+from features.steps.platform_jobs_steps import JOB, wait_until
+from features.steps.software_versions_steps import new_streams, read_all
+from hibiscuspin.clock import monotonic
+from hibiscuspin.decisions.routes import CallKind
+from hibiscuspin.edges.discovery import ProxiedRequest
+from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
+from hibiscuspin.tasks.forwarding import ForwardedCall
+
+CALL_PERIOD_S = 0.05
+CALL_TIMEOUT_S = 2.0
+CUT_FROM_S = 1.0
+CUT_UNTIL_S = 4.0
+ONCE_SHARE = 0.3
+SERVED_SHARE = 0.9
+NOTICE_S = 3.0
+RETURN_S = 1.0
+
+
+class CallRecord(NamedTuple):
+    """One call as its caller saw it; times from the start of the calls."""
+
+    request_id: str
+    instance: str
+    kind: CallKind
+    started_s: float
+    took_s: float
+    error: HibiscusError | None
+
+
+def send(
+    fleet: MemoryFleet, name: str, number: int, kind: CallKind
+) -> HibiscusError | None:
+    """Sends a call through an instance; returns its error."""
+    now = monotonic()
+    request_id = f"{name}-{number}"
+    request = ProxiedRequest(request_id, "POST", "/c/x", {}, b"")
+    try:
+        fleet.forwarder_by_name[name].forward(
+            ForwardedCall(
+                request,
+                route(kind)._replace(timeout_s=CALL_TIMEOUT_S),
+                SERVICE,
+                now,
+                now + CALL_TIMEOUT_S,
+                lambda: False,
+                fingerprint=request_id,
+            )
+        )
+    except HibiscusError as error:
+        return error
+    return None
+
+
+def run_calls(context: Any, seconds: float) -> list[threading.Thread]:
+    """Starts callers at each instance, each call in a thread of its own."""
+    fleet = context.memory
+    context.calls = []
+    context.calls_started_at = started_at = monotonic()
+    rng = random.Random(1)
+
+    def call(name: str, number: int, kind: CallKind) -> None:
+        begun = monotonic()
+        error = send(fleet, name, number, kind)
+        context.calls.append(
+            CallRecord(
+                f"{name}-{number}",
+                name,
+                kind,
+                begun - started_at,
+                monotonic() - begun,
+                error,
+            )
+        )
+
+    def come(name: str) -> None:
+        threads = []
+        for number in range(int(seconds / CALL_PERIOD_S)):
+            is_once = rng.random() < ONCE_SHARE
+            kind = CallKind.ONCE if is_once else CallKind.REPEATABLE
+            threads.append(
+                threading.Thread(target=call, args=(name, number, kind))
+            )
+            threads[-1].start()
+            time.sleep(CALL_PERIOD_S)
+        for thread in threads:
+            thread.join()
+
+    callers = [threading.Thread(target=come, args=(name,)) for name in "abc"]
+    for caller in callers:
+        caller.start()
+    return callers
+
+
+@when(
+    "calls come at each instance for {seconds:g} s, while from 1 s to 4 s the "
+    "links of {cut} {fault:w}"
+)
+def come_during_cut(context: Any, seconds: float, cut: str, fault: str) -> None:
+    fleet = context.memory
+    for target in fleet.target_by_name.values():
+        target.event_s = 0.02
+    callers = run_calls(context, seconds)
+    time.sleep(CUT_FROM_S)
+    for name in cut.split(" and "):
+        fleet.links_by_name[name].fault = fault
+    time.sleep(CUT_UNTIL_S - CUT_FROM_S)
+    for name in cut.split(" and "):
+        fleet.links_by_name[name].fault = ""
+    for caller in callers:
+        caller.join()
+
+
+@when(
+    "calls come at each instance for {seconds:g} s, while t0 and t1 are "
+    "{fault:w}"
+)
+def come_with_faults(context: Any, seconds: float, fault: str) -> None:
+    for name in ("t0", "t1"):
+        context.memory.target_by_name[name].fault = fault
+    for caller in run_calls(context, seconds):
+        caller.join()
+
+
+@then("nine tenths of the calls at each instance are served")
+def check_served(context: Any) -> None:
+    for name in "abc":
+        calls = [call for call in context.calls if call.instance == name]
+        served = [call for call in calls if call.error is None]
+        failed = [
+            (round(call.started_s, 2), str(call.error))
+            for call in calls
+            if call.error is not None
+        ]
+        assert len(served) >= SERVED_SHARE * len(calls), (
+            name,
+            len(served),
+            len(calls),
+            failed[:5],
+        )
+
+
+@then(
+    "those at {cut} from {seconds:g} s after the cut are answered within "
+    "{limit_s:g} s each"
+)
+def check_answered_soon(
+    context: Any, cut: str, seconds: float, limit_s: float
+) -> None:
+    late = [
+        call
+        for call in context.calls
+        if call.instance in cut.split(" and ")
+        and CUT_FROM_S + seconds <= call.started_s <= CUT_UNTIL_S
+        and (call.error is not None or call.took_s > limit_s)
+    ]
+    assert not late, (len(late), late[:3])
+
+
+def runs_by_request(context: Any) -> dict[str, int]:
+    count_by_request: dict[str, int] = {}
+    for target in context.memory.target_by_name.values():
+        for request_id, sent_at in target.sent_at.items():
+            known = count_by_request.get(request_id, 0)
+            count_by_request[request_id] = known + len(sent_at)
+    return count_by_request
+
+
+@then("no call that must not be repeated ran twice")
+def check_once(context: Any) -> None:
+    runs = runs_by_request(context)
+    once = [call for call in context.calls if call.kind is CallKind.ONCE]
+    assert once
+    twice = [c.request_id for c in once if runs.get(c.request_id, 0) > 1]
+    assert not twice, twice
+
+
+@then("no refused call has run")
+def check_refused_not_run(context: Any) -> None:
+    runs = runs_by_request(context)
+    untrue = [
+        call.request_id
+        for call in context.calls
+        if call.error is not None
+        and call.error.ran is ExecutionStatus.NO
+        and runs.get(call.request_id, 0)
+    ]
+    assert not untrue, untrue
+
+
+@then("no target counts as crashed")
+def check_no_crash(context: Any) -> None:
+    for name, targets in context.memory.discovered_by_name.items():
+        records = targets.crashes._record_by_key
+        assert not any(r.crashes for r in records.values()), (name, records)
+    kinds = {call.error.kind for call in context.calls if call.error}
+    assert ErrorKind.TARGET_CRASHER not in kinds
+
+
+@then("each instance sends to targets itself again at the end")
+def check_return(context: Any) -> None:
+    for name, targets in context.memory.discovered_by_name.items():
+        returns_by = monotonic() + RETURN_S
+        while targets.reach.is_doubtful and monotonic() < returns_by:
+            time.sleep(0.01)
+        assert not targets.reach.is_doubtful, name
+
+
+@then("no instance took its links for lost")
+def check_not_lost(context: Any) -> None:
+    for name, targets in context.memory.discovered_by_name.items():
+        assert not targets.reach.is_doubtful, name
+
+
+@given("the links of a {fault:w}")
+def cut_links(context: Any, fault: str) -> None:
+    context.memory.links_by_name["a"].fault = fault
+
+
+@given("a has noticed that")
+def notice(context: Any) -> None:
+    reach = context.memory.discovered_by_name["a"].reach
+    reach.record_unanswered("t0", monotonic())
+    assert wait_until(lambda: reach.is_isolated, NOTICE_S)
+
+
+@when("after {seconds:g} s the links of a {fault:w}")
+def cut_links_later(context: Any, seconds: float, fault: str) -> None:
+    time.sleep(seconds)
+    cut_links(context, fault)
+
+
+@when(
+    "{count:d} streams of {events:d} events are read at a, whose links hang "
+    "after {seconds:g} s"
+)
+def read_while_cut(
+    context: Any, count: int, events: int, seconds: float
+) -> None:
+    new_streams(context, count, events)
+    timer = threading.Timer(seconds, cut_links, (context, "hang"))
+    timer.start()
+    read_all(context, "a", None)
+    timer.join()
+
+
+@then("another instance than a held the job at the end")
+def check_held_elsewhere(context: Any) -> None:
+    stored = context.memory.store.read(f"hibiscuspin/jobs/{JOB}", 0.0)
+    assert b'"holder":"a"' not in stored.value, stored.value
