Send requests on through another instance while no target is reached

Callers of instances that had lost their links to all targets got nothing until their deadline, or were refused after an attempt at each target. Cause: each failure was charged to its target, the next attempt went over the same lost links, and a request had no way to an instance that reaches targets.

Three targets without an answer, and none that has answered since, say that the links are at fault; requests then go through another instance, which chooses the target, counts limits and crashes and states whether the request ran. An attempt that is unanswered while no target answers this instance is followed by one through another instance before that is certain. Attempts that hang on lost links do not use up a repeatable call's attempts; a call that must not be repeated is sent on only if it was certainly not sent. A request goes one hop, with its deadline and the targets that have had it; streams keep their origin. A target counts as crashed only if another one accepts a connection, since a cut that refuses connections looked like the crash of each target.

--- a/features/steps/isolated_instances_steps.py
+++ b/features/steps/isolated_instances_steps.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
 from behave import given, then, when
@@ -16,12 +17,15 @@
 from hibiscuspin.edges.discovery import ProxiedRequest
 from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.tasks.forwarding import ForwardedCall
+from hibiscuspin.tasks.job_recovery import JobRecovery
+from hibiscuspin.tasks.job_store import JobStore
 
 CALL_PERIOD_S = 0.05
 CALL_TIMEOUT_S = 2.0
 CUT_FROM_S = 1.0
 CUT_UNTIL_S = 4.0
 ONCE_SHARE = 0.3
+ONCE_PATH = "/once/x"
 SERVED_SHARE = 0.9
 NOTICE_S = 3.0
 RETURN_S = 1.0
@@ -44,7 +48,8 @@
     """Sends a call through an instance; returns its error."""
     now = monotonic()
     request_id = f"{name}-{number}"
-    request = ProxiedRequest(request_id, "POST", "/c/x", {}, b"")
+    path = ONCE_PATH if kind is CallKind.ONCE else "/c/x"
+    request = ProxiedRequest(request_id, "POST", path, {}, b"")
     try:
         fleet.forwarder_by_name[name].forward(
             ForwardedCall(
@@ -65,6 +70,9 @@
 def run_calls(context: Any, seconds: float) -> list[threading.Thread]:
     """Starts callers at each instance, each call in a thread of its own."""
     fleet = context.memory
+    fleet.route_of_request = lambda request: route(
+        CallKind.ONCE if request.target == ONCE_PATH else CallKind.REPEATABLE
+    )
     context.calls = []
     context.calls_started_at = started_at = monotonic()
     rng = random.Random(1)
@@ -222,8 +230,13 @@
         assert not targets.reach.is_doubtful, name
 
 
+def set_stream_route(fleet: MemoryFleet) -> None:
+    fleet.route_of_request = lambda request: route(CallKind.STREAM)
+
+
 @given("the links of a {fault:w}")
 def cut_links(context: Any, fault: str) -> None:
+    set_stream_route(context.memory)
     context.memory.links_by_name["a"].fault = fault
 
 
@@ -236,6 +249,17 @@
 
 @when("after {seconds:g} s the links of a {fault:w}")
 def cut_links_later(context: Any, seconds: float, fault: str) -> None:
+    fleet = context.memory
+    recovery = JobRecovery(
+        fleet.instances_by_name["a"],
+        fleet.jobs_by_name["a"],
+        JobStore(fleet.store, fleet.clock),
+        fleet.clock,
+        120.0,
+    )
+    executor = ThreadPoolExecutor(1)
+    executor.submit(recovery.run, fleet.stop)
+    fleet.executors.append(executor)
     time.sleep(seconds)
     cut_links(context, fault)
 
@@ -247,6 +271,7 @@
 def read_while_cut(
     context: Any, count: int, events: int, seconds: float
 ) -> None:
+    set_stream_route(context.memory)
     new_streams(context, count, events)
     timer = threading.Timer(seconds, cut_links, (context, "hang"))
     timer.start()
--- a/hibiscuspin/decisions/reach.py
+++ b/hibiscuspin/decisions/reach.py
@@ -14,6 +14,7 @@
     "after_unanswered",
     "is_doubtful",
     "is_isolated",
+    "needs_peer",
 ]
 
 # Two targets may end together; a third does so rarely, and a mistake ends with
@@ -39,8 +40,18 @@
     doubtful_since: float | None = None
 
 
-def after_answer(now: float) -> Reach:
-    """Returns the reach after an answer of any target."""
+def after_answer(reach: Reach, now: float, *, new_connection: bool) -> Reach:
+    """Returns the reach after an answer of any target.
+
+    Args:
+        reach: The reach before.
+        now: The monotonic time.
+        new_connection: Whether a new connection was accepted. Open ones may
+            live on while new ones are refused, so that only this ends the
+            doubt.
+    """
+    if is_doubtful(reach) and not new_connection:
+        return reach._replace(answered_at=now)
     return Reach(answered_at=now)
 
 
@@ -72,3 +83,27 @@
     """Returns whether other instances should take jobs and duties over."""
     since = reach.doubtful_since
     return since is not None and now >= since + ISOLATION_S
+
+
+def needs_peer(
+    reach: Reach, last_sent_at: float | None, is_relayed: bool
+) -> bool:
+    """Returns whether the next attempt goes through another instance.
+
+    That is also so if an attempt has brought no answer and no target has
+    answered this instance meanwhile: the links may be lost, and a first request
+    should not wait until that is certain.
+
+    Args:
+        reach: The reach of the instance.
+        last_sent_at: When the last attempt of the request was sent; None
+            before the first one.
+        is_relayed: Whether the request came from another instance. It then
+            goes no further.
+    """
+    if is_relayed:
+        return False
+    is_unanswered = (
+        last_sent_at is not None and reach.answered_at < last_sent_at
+    )
+    return is_doubtful(reach) or is_unanswered
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -13,6 +13,7 @@
     "OrderOutcome",
     "ProxiedResponse",
     "ProxiedRequest",
+    "RelayTerms",
     "TargetClient",
     "TargetRecord",
     "TargetState",
@@ -54,6 +55,18 @@
     software_version: str = ""
 
 
+class RelayTerms(NamedTuple):
+    """What another instance must know to send a request to targets.
+
+    Attributes:
+        max_attempts: How many targets it may send the request to.
+        avoid: The targets that have had the request.
+    """
+
+    max_attempts: int
+    avoid: tuple[str, ...] = ()
+
+
 class ProxiedRequest(NamedTuple):
     """A caller's request, forwarded to a target unchanged.
 
@@ -65,6 +78,8 @@
         body: The complete body.
         urgency: The scheduling urgency, from 0 for the most urgent to 9; None
             for the target's default.
+        relay: The terms for an instance that sends it on; None if it goes to
+            a target.
     """
 
     request_id: str
@@ -73,6 +88,7 @@
     headers: Mapping[str, str]
     body: bytes
     urgency: int | None = None
+    relay: RelayTerms | None = None
 
 
 class ProxiedResponse(NamedTuple):
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -17,7 +17,13 @@
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerHttpClient, peer_app
 from hibiscuspin.platform import engines, operators, retirement
-from hibiscuspin.platform.callers import ClientInterface, ready_app, text_app
+from hibiscuspin.platform.callers import (
+    ClientInterface,
+    RelayInterface,
+    ready_app,
+    text_app,
+)
+from hibiscuspin.platform.peer_client import PeerClient
 from hibiscuspin.platform.settings import PlatformSettings, read_settings_file
 from hibiscuspin.platform.store import KeyValueStore
 from hibiscuspin.settings import Address, SettingsError
@@ -36,6 +42,7 @@
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.limit_shares import LimitShares
 from hibiscuspin.tasks.local_job import JobDependencies
+from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
 from hibiscuspin.tasks.relay_feed import RelayFeed
 from hibiscuspin.tasks.reward_calls import RewardCaller
@@ -54,6 +61,8 @@
 
 CALLER_SERVER_THREADS = 64
 PEER_SERVER_THREADS = 24
+# Requests of instances that reach no target; apart from the threads of callers.
+RELAY_SERVER_THREADS = 48
 # Threads of the readiness server, and of the metrics server.
 MONITORING_THREADS = 1
 # Samples that one instance runs at once; further ones are queued.
@@ -126,7 +135,14 @@
         self._write_executor = ThreadPoolExecutor(
             WRITE_THREADS, thread_name_prefix="write"
         )
-        self._forwarder = Forwarder(self._targets, self._clock)
+        self._peer_targets = PeerTargets(
+            self._instances,
+            lambda member: PeerClient(member, self._clock),
+            self._clock,
+        )
+        self._forwarder = Forwarder(
+            self._targets, self._clock, self._peer_targets
+        )
         rewards = RewardCaller(self._routes, self._forwarder, self._clock)
         self._scoring = Scoring(
             self._clock, rewards.startable_calls, self._metrics
@@ -301,16 +317,24 @@
         self, job_store: JobStore, rng: random.Random
     ) -> list[Task]:
         settings = self._settings
-        clients = ClientInterface(
-            self._routes,
-            lambda: self._config_watcher.is_current,
-            self._forwarder,
-            StreamForwarder(
-                self._targets, self._stream_exchange, self._clock, self._metrics
-            ),
-            self._jobs,
-            self._metrics,
+        streams = StreamForwarder(
+            self._targets,
+            self._stream_exchange,
             self._clock,
+            self._metrics,
+            self._peer_targets,
+        )
+        clients, relayed = (
+            interface(
+                self._routes,
+                lambda: self._config_watcher.is_current,
+                self._forwarder,
+                streams,
+                self._jobs,
+                self._metrics,
+                self._clock,
+            )
+            for interface in (ClientInterface, RelayInterface)
         )
         handlers = {
             **self._jobs.handlers(),
@@ -369,6 +393,15 @@
                 MONITORING_THREADS,
             ),
         ]
+        if settings.relay_address is not None:
+            tasks.append(
+                self._add_server(
+                    "relay",
+                    relayed,
+                    settings.relay_address,
+                    RELAY_SERVER_THREADS,
+                )
+            )
         if settings.ready_address is not None:
             app = ready_app(self.ready)
             tasks.append(
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -10,18 +10,19 @@
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import ProxiedRequest
 from hibiscuspin.edges.wsgi import Response, error_response
-from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.platform import batches, words
 from hibiscuspin.platform.engines import NOT_FORWARDED_HEADERS
+from hibiscuspin.platform.peer_client import RelayHeaders
 from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
 from hibiscuspin.tasks.job_store import JobContents
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 
-__all__ = ["ClientInterface", "ready_app", "text_app"]
+__all__ = ["ClientInterface", "RelayInterface", "ready_app", "text_app"]
 
 JOBS_PATH = "/hibiscuspin/lots/"
 ITEMS_PATH = "/hibiscuspin/items/"
@@ -88,7 +89,7 @@
         try:
             endpoint, response = self._dispatch(incoming, started)
         except HibiscusError as error:
-            response = error_response(error)
+            response = self._error_response(error, incoming)
             _log.info(
                 "Request refused.",
                 extra={
@@ -111,6 +112,11 @@
         self._metrics.observe(endpoint, self._clock.monotonic() - started)
         return _start_response(response, start_response)
 
+    def _error_response(
+        self, error: HibiscusError, incoming: _IncomingRequest
+    ) -> Response:
+        return error_response(error)
+
     def _dispatch(
         self, incoming: _IncomingRequest, started: float
     ) -> tuple[str, Response]:
@@ -218,6 +224,54 @@
         return Response(200, "", parts, headers)
 
 
+class RelayInterface(ClientInterface):
+    """Serves requests that other instances send on.
+
+    They do so while they reach no target. Jobs are handed over instead.
+    """
+
+    def _dispatch(
+        self, incoming: _IncomingRequest, started: float
+    ) -> tuple[str, Response]:
+        if not self._forwarder.reaches_targets:
+            raise HibiscusError(
+                ErrorKind.NO_TARGET, "This instance reaches no target either."
+            )
+        relay = RelayHeaders.from_headers(incoming.headers)
+        route = self._routes.find(
+            incoming.host, incoming.path, self._routes_current()
+        )
+        headers = {
+            name: value
+            for name, value in incoming.headers.items()
+            if name.lower() not in words.RELAY_HEADERS
+        }
+        call = self._build_call(
+            incoming._replace(headers=headers),
+            route._replace(max_attempts=relay.max_attempts),
+            started,
+        )
+        call = call._replace(is_relayed=True, avoid=relay.avoid)
+        if route.kind is CallKind.STREAM:
+            return "relayed_stream", self._open_stream(call)
+        return "relayed_call", self._forward(call)
+
+    def _error_response(
+        self, error: HibiscusError, incoming: _IncomingRequest
+    ) -> Response:
+        """Returns an error as the other instance reads it from a target."""
+        response = error_response(error)
+        if error.ran is not ExecutionStatus.NO:
+            return response
+        request_id = incoming.header(words.REQUEST_ID_HEADER)
+        headers = (
+            *response.headers,
+            (words.NOT_EXECUTED_HEADER, "1"),
+            (words.REQUEST_ID_HEADER, request_id),
+        )
+        return response._replace(headers=headers)
+
+
 def _parse_request(environ: dict[str, Any]) -> _IncomingRequest:
     headers = {
         name[5:].replace("_", "-").title(): value
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -202,8 +202,8 @@
         headers = {
             **request.headers,
             **extra_headers,
+            **self._address_headers(request),
             words.REQUEST_ID_HEADER: request.request_id,
-            words.EXPECTED_TARGET_HEADER: self._name,
             words.DEADLINE_MS_HEADER: str(max(1, int(remaining_s * MS_PER_S))),
         }
         sent_at = self._clock.monotonic()
@@ -225,6 +225,10 @@
         self._check_limit(stream, sent_at, may_end=is_own_answer)
         return stream
 
+    def _address_headers(self, request: ProxiedRequest) -> dict[str, str]:
+        """Returns the headers that name who is to serve a request."""
+        return {words.EXPECTED_TARGET_HEADER: self._name}
+
     def _check_draining(self, response: HttpStream | HttpResponse) -> None:
         # A misdirected response is about another target.
         if response.status == MISDIRECTED_STATUS:
--- a/hibiscuspin/platform/settings.py
+++ b/hibiscuspin/platform/settings.py
@@ -8,7 +8,7 @@
 
 from hibiscuspin.settings import Address, SettingsError, parse_address
 
-__all__ = ["PlatformSettings", "read_settings_file"]
+__all__ = ["PlatformSettings", "read_settings_file", "relay_address"]
 
 MS_PER_S = 1000.0
 
@@ -23,6 +23,8 @@
         caller_address: Where callers connect; None if it serves no callers.
         ready_address: Where readiness checks connect; None for no checks.
         peer_address: Where other instances connect.
+        relay_address: Where they send on requests while they reach no target,
+            at the port after that; None if there is no such port.
         store_address: The address of the platform's store.
         drain_s: How long a draining target continues to serve requests.
         grace_s: The time from the stop signal until the process must end.
@@ -39,6 +41,7 @@
     caller_address: Address | None
     ready_address: Address | None
     peer_address: Address
+    relay_address: Address | None
     store_address: Address
     drain_s: float
     grace_s: float
@@ -61,16 +64,21 @@
     if not isinstance(raw, dict):
         raise SettingsError([f"{path}: expected a table of fields"])
     reader = _FieldReader(raw)
-    # These ports are free on every machine; only the first one is used.
+    # These ports are free on every machine; the first two are used.
     ports = reader.value("internal_ports", list)
     first_port = ports[0] if ports and isinstance(ports[0], int) else 0
+    last_port = ports[-1] if ports and isinstance(ports[-1], int) else 0
+    peer_address = Address(reader.value("ip", str), first_port)
     settings = PlatformSettings(
         instance=reader.value("node_name", str),
         data_centre=reader.value("zone", str),
         region_by_data_centre=reader.value("zones", dict),
         caller_address=reader.optional_address("listen", "front"),
         ready_address=reader.optional_address("listen", "readiness"),
-        peer_address=Address(reader.value("ip", str), first_port),
+        peer_address=peer_address,
+        relay_address=relay_address(peer_address)
+        if last_port > first_port
+        else None,
         store_address=reader.address("platform", "address"),
         drain_s=reader.number("bounds", "drain_ms") / MS_PER_S,
         grace_s=reader.number("bounds", "grace_s"),
@@ -84,6 +92,11 @@
     return settings
 
 
+def relay_address(peer_address: Address) -> Address:
+    """Returns where an instance accepts requests of other instances."""
+    return peer_address._replace(port=peer_address.port + 1)
+
+
 class _FieldReader:
     """Reads fields and collects the problems with them."""
 
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -4,6 +4,9 @@
 """
 
 __all__ = [
+    "AVOID_HEADER",
+    "MAX_ATTEMPTS_HEADER",
+    "RELAY_HEADERS",
     "DECODE_ERRORS",
     "JSON_CONTENT_TYPE",
     "BOOT_VARIABLE",
@@ -78,6 +81,11 @@
 # How long a read may wait for results, in milliseconds.
 WAIT_MS_HEADER = "X-Wait-Ms"
 
+# Between instances only.
+MAX_ATTEMPTS_HEADER = "Hibiscuspin-Max-Attempts"
+AVOID_HEADER = "Hibiscuspin-Avoid"
+RELAY_HEADERS = frozenset({MAX_ATTEMPTS_HEADER.lower(), AVOID_HEADER.lower()})
+
 KIND_BY_ROUTE_TYPE = {
     "idempotent": CallKind.REPEATABLE,
     "non_idempotent": CallKind.ONCE,
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -46,6 +46,10 @@
 # How long a target that closed a connection may take to accept another one.
 PROBE_TIMEOUT_S = 0.3
 CRASH_RECHECK_S = 0.1
+# How many other targets are tried before a target counts as crashed.
+REACH_CHECKS = 3
+# How long an instance that refused or failed a request gets no other one.
+PEER_BACKOFF_S = 0.5
 SAME_DATA_CENTRE_LINK_S = 0.0005
 SAME_REGION_LINK_S = 0.004
 OTHER_REGION_LINK_S = 0.02
@@ -77,10 +81,18 @@
             incarnation, or its address now belongs to another target.
         says_draining: Whether one of its responses said that it is draining.
             The list may show that later, or not at all.
+        is_peer: Whether it is another instance, which chooses the target.
     """
 
-    def __init__(self, record: TargetRecord, client: TargetClient) -> None:
+    def __init__(
+        self,
+        record: TargetRecord,
+        client: TargetClient,
+        *,
+        is_peer: bool = False,
+    ) -> None:
         self.record = record
+        self.is_peer = is_peer
         self.client = client
         self.gone = False
         self.says_draining = False
@@ -472,7 +484,8 @@
         event_s: float | None = None,
     ) -> None:
         """Records a complete response, or a stream's time per event."""
-        self.reach.record_answer()
+        if not target.is_peer:
+            self.reach.record_answer()
         now = self._clock.monotonic()
         with self._lock:
             target.health = ejection.after_success(target.health)
@@ -501,6 +514,9 @@
             request_id: The request's id.
             sent_at: When the attempt started, in monotonic time.
         """
+        if target.is_peer:
+            self._record_peer_error(target, error, request_id)
+            return
         if error.refused or error.status:
             self.reach.record_answer()
         elif error.silent or not error.sent:
@@ -513,6 +529,23 @@
         else:
             self.record_failure(target, error.silent, str(error), request_id)
 
+    def _record_peer_error(
+        self, target: DiscoveredTarget, error: TargetError, request_id: str
+    ) -> None:
+        now = self._clock.monotonic()
+        with self._lock:
+            target.backoff_until = now + PEER_BACKOFF_S
+        _log.info(
+            "Attempt through another instance failed.",
+            extra={
+                "request_id": request_id,
+                "peer": target.name,
+                "refused": error.refused,
+                "sent": error.sent,
+                "reason": str(error),
+            },
+        )
+
     def record_if_crashed(
         self,
         target: DiscoveredTarget,
@@ -540,6 +573,8 @@
         """
         if not (key and error.disconnected and target.accepts_work):
             return False
+        if target.is_peer:
+            return False
         deadline = self._clock.monotonic() + PROBE_TIMEOUT_S
         try:
             is_listening = target.client.is_listening(deadline)
@@ -559,10 +594,40 @@
                 extra={"request_id": request_id, "target": target.name},
             )
             return True
+        if not self._is_any_listening(deadline, target.name):
+            _log.info(
+                "Target closed a connection, and no target accepts one.",
+                extra={"request_id": request_id, "target": target.name},
+            )
+            return False
         incarnation = f"{target.name}/{target.record.born_ms}"
         self.crashes.record_crash(key, incarnation, sent_at, request_id)
         return False
 
+    def _is_any_listening(self, deadline: float, failed: str) -> bool:
+        """Returns whether this instance reaches a target beside a failed one.
+
+        Where it knows no other target, none can tell a crash from lost links.
+        """
+        others = [t for t in self.accepting_work() if t.name != failed]
+        if not others:
+            return True
+        if self.reach.is_doubtful:
+            return False
+        for target in others[:REACH_CHECKS]:
+            sent_at = self._clock.monotonic()
+            try:
+                if target.is_listening(deadline):
+                    self.reach.record_answer(new_connection=True)
+                    return True
+            except TargetError as error:
+                _log.debug(
+                    "Target not reached while another one is checked.",
+                    extra={"target": target.name, "reason": str(error)},
+                )
+            self.reach.record_unanswered(target.name, sent_at)
+        return False
+
     def record_refusal(self, target: DiscoveredTarget) -> None:
         """Backs off from a target that had no free slot."""
         now = self._clock.monotonic()
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -19,7 +19,11 @@
 from hibiscuspin.decisions.limits import Demand
 from hibiscuspin.decisions.routes import CallKind, ForwardRoute
 from hibiscuspin.edges import TargetError
-from hibiscuspin.edges.discovery import ProxiedRequest, ProxiedResponse
+from hibiscuspin.edges.discovery import (
+    ProxiedRequest,
+    ProxiedResponse,
+    RelayTerms,
+)
 from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.discovered import (
@@ -28,6 +32,7 @@
     DiscoveredTarget,
     DiscoveredTargets,
 )
+from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.target_limits import Purpose, Send
 
 __all__ = [
@@ -65,6 +70,8 @@
             stream that this one resumes; empty for a new stream.
         resumed_after: The id of the last event that its caller has; 0 for a
             new stream.
+        is_relayed: Whether another instance sends it, which reaches no target.
+        avoid: The targets that have had it there.
     """
 
     request: ProxiedRequest
@@ -77,6 +84,8 @@
     fingerprint: str = ""
     resumes: str = ""
     resumed_after: int = 0
+    is_relayed: bool = False
+    avoid: tuple[str, ...] = ()
 
     @property
     def is_resumption(self) -> bool:
@@ -114,8 +123,18 @@
         self,
         targets: DiscoveredTargets,
         clock: Clock,
+        peers: PeerTargets | None = None,
     ) -> None:
+        """Creates the forwarder.
+
+        Args:
+            targets: The targets.
+            clock: The time source.
+            peers: The instances through which requests go while this one
+                reaches no target; None for none.
+        """
         self._targets = targets
+        self._peers = peers
         self._clock = clock
         self._executor = ThreadPoolExecutor(
             MAX_CONCURRENT_ATTEMPTS, thread_name_prefix="attempt"
@@ -124,6 +143,11 @@
         self._waiting_by_service: dict[str, int] = {}
         self._budget = retry_budgets.RetryBudget()
 
+    @property
+    def reaches_targets(self) -> bool:
+        """Whether this instance can serve requests of others."""
+        return not self._targets.reach.is_doubtful
+
     def stop(self) -> None:
         """Waits for the attempts in flight and ends the worker threads."""
         self._executor.shutdown()
@@ -230,7 +254,10 @@
         self._finished = threading.Event()
         self._in_flight = 0
         self._may_have_run = 0
-        self._tried: list[str] = []
+        self._tried: list[str] = list(call.avoid)
+        self._last_sent_at: float | None = None
+        # Attempts in flight at targets, by the target's name.
+        self._sent_at_by_target: dict[str, float] = {}
         self.targets: list[str] = []
         self.server_errors = 0
         self._hedge_at = self._deadline
@@ -299,24 +326,61 @@
             and not self._in_flight
         ):
             return attempts.Action(ActionKind.GIVE_UP)
+        hedge_at = (
+            self._hedge_at if verdict is Verdict.NORMAL else self._deadline
+        )
+        if self._in_flight and self._in_flight == self._count_unreachable():
+            hedge_at = self._clock.monotonic()
         progress = attempts.CallProgress(
             self._repeatable,
             call.route.max_attempts,
             self._in_flight,
-            self._may_have_run,
-            self._hedge_at if verdict is Verdict.NORMAL else self._deadline,
+            self._may_have_run - self._count_unreachable(),
+            hedge_at,
             self._deadline,
         )
         load = self._forwarder.load(call.service, deferrable=call.deferrable)
         load = load._replace(ahead=max(0, load.ahead - 1))
+        if self._choose_peer() is not None:
+            # The other instance decides by its own load.
+            load = load._replace(free=1)
         now = self._clock.monotonic()
         if self._in_flight and now >= self._deadline:
             return attempts.Action(ActionKind.GIVE_UP)
         return attempts.next_action(progress, load, now)
 
+    def _choose_peer(self) -> DiscoveredTarget | None:
+        """Returns the instance through which the next attempt goes, if any."""
+        peers = self._forwarder._peers
+        if peers is None or not self._targets.reach.needs_peer(
+            self._last_sent_at, self._call.is_relayed
+        ):
+            return None
+        return peers.choose(self._tried)
+
+    def _may_send_through_peer(self) -> bool:
+        """Returns whether an extra attempt is allowed beside those in flight.
+
+        Those at targets that can't be reached don't count.
+        """
+        if self._in_flight == self._count_unreachable():
+            return True
+        return self._forwarder._spend_retry_budget()
+
+    def _count_unreachable(self) -> int:
+        """Returns the attempts in flight at targets that can't be reached.
+
+        They don't keep a repeatable call from another attempt.
+        """
+        is_lost = self._repeatable and self._targets.reach.is_doubtful
+        return len(self._sent_at_by_target) if is_lost else 0
+
     def _start_attempt(self) -> bool:
         """Starts an attempt; returns False if none can be started now."""
         call = self._call
+        peer = self._choose_peer()
+        if peer is not None and self._may_send_through_peer():
+            return self._start_at(peer, self._call.route.objective_s)
         views = self._targets.views(call.service, deferrable=call.deferrable)
         now = self._clock.monotonic()
         view = placement.place_call(
@@ -340,20 +404,44 @@
         target = self._targets.get(view.name)
         if target is None:
             return False
+        return self._start_at(target, view.answer_s)
+
+    def _start_at(self, target: DiscoveredTarget, answer_s: float) -> bool:
+        """Starts an attempt at a target, unless its request limit forbids it.
+
+        Args:
+            target: The target, or the instance that sends the request on.
+            answer_s: The expected time until its response.
+        """
+        now = self._clock.monotonic()
         if not self._targets.try_start(target, self._next_send()):
             return False
-        self._tried.append(view.name)
-        self.targets.append(view.name)
+        self._tried.append(target.name)
+        self.targets.append(target.name)
         if not self._may_have_run:
             self._forwarder._count_first_attempt()
         self._in_flight += 1
         self._may_have_run += 1
+        self._last_sent_at = now
+        if not target.is_peer:
+            self._sent_at_by_target[target.name] = now
         self._hedge_at = hedging.objective_hedge_at(
-            now, view.answer_s, call.route.objective_s
+            now, answer_s, self._call.route.objective_s
         )
         self._forwarder._executor.submit(self._run_attempt, target)
         return True
 
+    def _request_for(self, target: DiscoveredTarget) -> ProxiedRequest:
+        request = self._call.request
+        if not target.is_peer:
+            return request
+        used = self._may_have_run - self._count_unreachable() - 1
+        terms = RelayTerms(
+            max(1, self._call.route.max_attempts - used),
+            tuple(name for name in self._tried if name != target.name),
+        )
+        return request._replace(relay=terms)
+
     def _must_spare_limits(self) -> bool:
         """Returns whether this attempt must not use up a target's limit.
 
@@ -393,7 +481,7 @@
             target.check_accepts_work()
             with self._crashes.track(self._call.fingerprint, target.name):
                 response = target.client.send(
-                    self._call.request,
+                    self._request_for(target),
                     self._deadline,
                     self._check_finished,
                     fresh=not self._repeatable,
@@ -447,9 +535,14 @@
         except queue.Empty:
             return None
         self._in_flight -= 1
+        self._sent_at_by_target.pop(result.target.name, None)
         if result.error is not None:
             self._handle_error(result, result.error)
             return None
+        if result.target.is_peer:
+            # They have not answered while another instance has been served.
+            for name, sent_at in self._sent_at_by_target.items():
+                self._targets.reach.record_unanswered(name, sent_at)
         response = result.response
         if response is None:
             return None
--- /dev/null
+++ b/hibiscuspin/tasks/peer_targets.py
@@ -0,0 +1,90 @@
+"""Other instances, used like targets by an instance that reaches none.
+
+A request goes through one other instance at most, which chooses a target,
+counts its limits and crashes, and states whether it ran.
+"""
+
+import threading
+from collections.abc import Callable, Collection
+
+from hibiscuspin.clock import Clock
+from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.edges.discovery import TargetClient, TargetRecord
+from hibiscuspin.settings import Address
+from hibiscuspin.tasks.discovered import DiscoveredTarget
+from hibiscuspin.tasks.instances import Instances
+
+__all__ = ["PeerTargets"]
+
+# Requests of this instance that one other instance serves at once.
+MAX_REQUESTS_PER_PEER = 24
+
+
+class PeerTargets:
+    """The other instances as targets; thread-safe."""
+
+    def __init__(
+        self,
+        instances: Instances,
+        connect: Callable[[LiveInstance], TargetClient],
+        clock: Clock,
+    ) -> None:
+        """Creates the table.
+
+        Args:
+            instances: The other instances.
+            connect: Creates the client of an instance.
+            clock: The time source.
+        """
+        self._instances = instances
+        self._connect = connect
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._target_by_member: dict[LiveInstance, DiscoveredTarget] = {}
+
+    def choose(self, tried: Collection[str]) -> DiscoveredTarget | None:
+        """Returns the instance through which to send a request, or None.
+
+        That is one of this data centre if any has room, and the one with the
+        fewest requests of this instance. One that has just refused or failed
+        is passed over.
+
+        Args:
+            tried: Names of the targets that have had the request.
+        """
+        own = self._instances.member
+        now = self._clock.monotonic()
+        members = self._instances.others()
+        with self._lock:
+            self._update(members)
+            candidates = [
+                (member.data_centre != own.data_centre, target.in_flight, index)
+                for index, member in enumerate(members)
+                if (target := self._target_by_member[member]).name not in tried
+                and target.backoff_until <= now
+                and target.in_flight < MAX_REQUESTS_PER_PEER
+            ]
+            if not candidates:
+                return None
+            return self._target_by_member[members[min(candidates)[2]]]
+
+    def _update(self, members: list[LiveInstance]) -> None:
+        for member in self._target_by_member.keys() - set(members):
+            self._target_by_member.pop(member).client.close()
+        for member in members:
+            if member not in self._target_by_member:
+                self._target_by_member[member] = self._create(member)
+
+    def _create(self, member: LiveInstance) -> DiscoveredTarget:
+        record = TargetRecord(
+            name=f"instance {member.name}",
+            born_ms=0,
+            service="",
+            # Only the client needs it.
+            address=Address("", 0),
+            data_centre=member.data_centre,
+            slots=MAX_REQUESTS_PER_PEER,
+            draining=False,
+            version_by_model={},
+        )
+        return DiscoveredTarget(record, self._connect(member), is_peer=True)
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -12,7 +12,12 @@
 from hibiscuspin.decisions.samples import STARTED_URGENCY
 from hibiscuspin.decisions.software import Software, may_continue
 from hibiscuspin.edges import TargetError, WaitLimits
-from hibiscuspin.edges.discovery import EventStream, ServerSentEvent
+from hibiscuspin.edges.discovery import (
+    EventStream,
+    ProxiedRequest,
+    RelayTerms,
+    ServerSentEvent,
+)
 from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.metrics import Metrics
@@ -23,6 +28,7 @@
     DiscoveredTargets,
 )
 from hibiscuspin.tasks.forwarding import ForwardedCall
+from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.target_limits import Purpose, Send
 
@@ -33,6 +39,8 @@
 STALL_TIMEOUT_S = 1.2
 # How long a stream with events waits for a free slot.
 RESUME_TIMEOUT_S = 1.2
+# Equal to no target's.
+UNKNOWN_SOFTWARE = Software("", "")
 
 _log = get_logger("live")
 
@@ -50,7 +58,9 @@
         origins: StreamExchange,
         clock: Clock,
         metrics: Metrics | None = None,
+        peers: PeerTargets | None = None,
     ) -> None:
+        self._peers = peers
         self._targets = targets
         self._origins = origins
         self._clock = clock
@@ -69,7 +79,7 @@
                 or the caller has disconnected.
         """
         stream = _ForwardedStream(
-            self._targets, self._origins, self._clock, call
+            self._targets, self._origins, self._clock, call, self._peers
         )
         try:
             stream.bind_to_origin()
@@ -94,7 +104,9 @@
         origins: StreamExchange,
         clock: Clock,
         call: ForwardedCall,
+        peers: PeerTargets | None,
     ) -> None:
+        self._peers = peers
         self._targets = targets
         self._origins = origins
         self._clock = clock
@@ -102,7 +114,7 @@
         self._call = call
         # What generated the first event; only its targets may go on.
         self._begun_by: Software | None = None
-        self._tried: list[str] = []
+        self._tried: list[str] = list(call.avoid)
         self._may_have_run = 0
         self._last_event_number = 0
         self._sent_at = 0.0
@@ -180,6 +192,11 @@
             return
         if self._target is None:
             return
+        if self._target.is_peer:
+            # The other instance has recorded it under the same request.
+            found = self._origins.find(self._call.request.request_id)
+            self._begun_by = found or UNKNOWN_SOFTWARE
+            return
         self._begun_by = self._target.software
         if self._call.route.resumable and self._begun_by.version:
             self._origins.record(
@@ -211,6 +228,9 @@
         """Returns the next target, once its request limit allows a request."""
         call = self._call
         send = Send(call.request.request_id, Purpose.STREAM)
+        peer = self._choose_peer()
+        if peer is not None and self._targets.try_start(peer, send):
+            return peer
         while True:
             now = self._clock.monotonic()
             views = self._usable_views()
@@ -232,6 +252,23 @@
                 return None
             self._check_caller_connected()
 
+    def _choose_peer(self) -> DiscoveredTarget | None:
+        """Returns the instance through which the stream goes, if any."""
+        last_sent_at = self._answered_at if self._last_error else None
+        if self._peers is None or not self._targets.reach.needs_peer(
+            last_sent_at, self._call.is_relayed
+        ):
+            return None
+        return self._peers.choose(self._tried)
+
+    def _request_for(self, target: DiscoveredTarget) -> ProxiedRequest:
+        request = self._call.request
+        if not target.is_peer:
+            return request
+        remaining = self._call.route.max_attempts - self._may_have_run + 1
+        avoid = tuple(name for name in self._tried if name != target.name)
+        return request._replace(relay=RelayTerms(max(1, remaining), avoid))
+
     def _usable_views(self) -> list[TargetView]:
         """Returns the targets that may begin or continue the stream."""
         views = self._targets.views(self._call.service)
@@ -290,7 +327,9 @@
         self._sent_at = self._answered_at = self._clock.monotonic()
         try:
             events = target.client.open_stream(
-                self._call.request, self._last_event_number, self._read_limits()
+                self._request_for(target),
+                self._last_event_number,
+                self._read_limits(),
             )
         except BaseException:
             self._targets.request_ended(target)
--- a/hibiscuspin/tasks/target_reach.py
+++ b/hibiscuspin/tasks/target_reach.py
@@ -61,9 +61,15 @@
         """Whether other instances should take jobs and duties over."""
         return decisions.is_isolated(self._reach, self._clock.monotonic())
 
-    def answered_since(self, at: float) -> bool:
-        """Returns whether any target has answered since a monotonic time."""
-        return self._reach.answered_at >= at
+    def needs_peer(self, last_sent_at: float | None, is_relayed: bool) -> bool:
+        """Returns whether an attempt goes through another instance.
+
+        Args:
+            last_sent_at: When the last attempt of the request was sent; None
+                before the first one.
+            is_relayed: Whether the request came from another instance.
+        """
+        return decisions.needs_peer(self._reach, last_sent_at, is_relayed)
 
     def set_known(self, count: int) -> None:
         """Sets how many targets are known."""
@@ -73,14 +79,21 @@
         """Returns the targets that did not answer since any one did."""
         return self._reach.unanswered
 
-    def record_answer(self) -> None:
-        """Records that a target answered, be it with a refusal."""
+    def record_answer(self, *, new_connection: bool = False) -> None:
+        """Records that a target answered, be it with a refusal.
+
+        Args:
+            new_connection: Whether it has accepted a new connection.
+        """
         with self._lock:
             before = self._reach
             now = self._clock.monotonic()
-            self._reach = decisions.after_answer(now)
-            self.in_doubt.clear()
-        if before.doubtful_since is not None:
+            after = self._reach = decisions.after_answer(
+                before, now, new_connection=new_connection
+            )
+            if after.doubtful_since is None:
+                self.in_doubt.clear()
+        if before.doubtful_since is not None and after.doubtful_since is None:
             self._metrics.targets_reached.set(1)
             _log.info(
                 "Targets are reached again.",
@@ -179,6 +192,6 @@
                 extra={"target": target.name, "reason": str(error)},
             )
         if is_listening:
-            self._reach.record_answer()
+            self._reach.record_answer(new_connection=True)
         else:
             self._reach.record_unanswered(target.name, sent_at)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -264,9 +264,16 @@
     def _address(self, name: str, purpose: str) -> Address:
         key = f"{name} {purpose}"
         if key not in self._address_by_key:
-            self._address_by_key[key] = free_address()
+            address = free_address()
+            while purpose == "peer" and not self._has_next_port(address):
+                address = free_address()
+            self._address_by_key[key] = address
         return self._address_by_key[key]
 
+    def _has_next_port(self, address: Address) -> bool:
+        """Reserves a further port; returns whether it is the next one."""
+        return free_address().port == address.port + 1
+
     def _boot_settings(self, name: str) -> dict[str, Any]:
         number = int(name.rpartition("-")[2])
         peer = self._address(name, "peer")
@@ -280,7 +287,7 @@
                 "front": str(self._address(name, "front")),
                 "readiness": str(self._address(name, "ready")),
             },
-            "internal_ports": [peer.port, peer.port],
+            "internal_ports": [peer.port, peer.port + 1],
             "bounds": {
                 "drain_ms": 2500,
                 "grace_s": GRACE_S,
