Hand jobs over while no target is reached

Jobs stayed at a holder that had lost its links to all targets until the links were back. An instance without targets takes no jobs from others, and asks all others to hold one that arrives.

--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -82,6 +82,7 @@
         while not stop.wait(TICK_S):
             now = self._clock.monotonic()
             self._finish_adoptions(now)
+            self._evacuate()
             members = self._instances.members()
             observed = frozenset((m.name, m.term) for m in members.values())
             lost = bool(self._observed_terms - observed)
@@ -113,6 +114,15 @@
                 extra={"reason": str(error)},
             )
 
+    def _evacuate(self) -> None:
+        try:
+            self._jobs.evacuate()
+        except StoreError as error:
+            _log.info(
+                "Job neither handed over nor continued yet; retrying.",
+                extra={"reason": str(error)},
+            )
+
     def _resume_own(self, stop: threading.Event) -> None:
         resumable: list[str] | None = None
         while not stop.is_set():
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -72,6 +72,8 @@
 # responds within 20 ms.
 HOLDS_QUERY_TIMEOUT_S = 0.3
 STORE_TIMEOUT_S = 1.2
+# How often an instance that reaches no target offers its jobs to others.
+EVACUATION_PERIOD_S = 1.5
 END_TIMEOUT_S = 2.0
 ADOPT_TIMEOUT_S = 2.5
 # Responses to readers are limited to 1 MB; JSON escaping adds little to the
@@ -117,6 +119,7 @@
     ) -> None:
         self._dependencies = dependencies
         self._store = dependencies.store
+        self._reach = dependencies.targets.reach
         self._instances = instances
         self._peers = peers
         self._clock: Clock = dependencies.clock
@@ -127,6 +130,7 @@
             MAX_CONTROL_THREADS, thread_name_prefix="job"
         )
         self._stopping = False
+        self._evacuate_at = float("-inf")
         # Jobs whose takeover is in progress.
         self._adopting: set[str] = set()
         # Jobs that the store assigns to this instance but that don't run yet.
@@ -156,20 +160,23 @@
         if contents.job in self._job_by_id:
             return
         accepted: bool | None = False
-        holder = self._preferred_holder(contents.model)
-        if holder != self._instances.member:
+        for holder in self._holders_to_ask(contents.model):
             accepted = self._request_acceptance(holder, contents)
             if accepted:
                 return
+            if accepted is None:
+                break
         self._accept(contents, route, deadline, applied=accepted)
 
-    def _preferred_holder(self, model: str) -> LiveInstance:
-        return holders.preferred_holder(
-            model,
-            self._instances.member,
-            self._instances.others(),
-            self.suspects(),
-        )
+    def _holders_to_ask(self, model: str) -> list[LiveInstance]:
+        """Returns the instances that should hold a job rather than this one."""
+        others = self._instances.others()
+        suspects = self.suspects()
+        if self._reach.is_doubtful:
+            return [member for member in others if member.name not in suspects]
+        own = self._instances.member
+        holder = holders.preferred_holder(model, own, others, suspects)
+        return [holder] if holder != own else []
 
     def _request_acceptance(
         self, holder: LiveInstance, contents: JobContents
@@ -211,7 +218,8 @@
         local = self._job_by_id.get(contents.job)
         if local is not None:
             return msgspec.msgpack.encode(local.stored)
-        if not holders.may_hold_more(len(self.open_jobs())):
+        may_hold = holders.may_hold_more(len(self.open_jobs()))
+        if self._reach.is_doubtful or not may_hold:
             raise _not_holder(contents.job)
         route_and_service = self._dependencies.route_of(contents)
         if route_and_service is None:
@@ -602,18 +610,48 @@
         """Hands all unfinished jobs and their events to other instances."""
         self._stopping = True
         jobs_by_holder: dict[str, int] = {}
-        for job, local in list(self._job_by_id.items()):
-            if local.stopped or local.done:
-                continue
+        for job, local in self._unfinished():
             saved = local.stop_for_handover()
             self._hand_over_job(job, saved, jobs_by_holder)
 
+    def _unfinished(self) -> list[tuple[str, LocalJob]]:
+        return [
+            (job, local)
+            for job, local in list(self._job_by_id.items())
+            if not (local.stopped or local.done)
+        ]
+
+    def evacuate(self) -> None:
+        """Hands jobs over while this instance reaches no target.
+
+        A job that no other instance takes is continued here.
+
+        Raises:
+            StoreError: The store could not be reached.
+        """
+        if not self._reach.is_isolated or self._stopping:
+            return
+        now = self._clock.monotonic()
+        if now < self._evacuate_at:
+            return
+        self._evacuate_at = now + EVACUATION_PERIOD_S
+        jobs_by_holder: dict[str, int] = {}
+        for job, local in self._unfinished():
+            saved = local.stop_for_handover()
+            is_taken = self._hand_over_job(job, saved, jobs_by_holder)
+            self._drop(job)
+            if not is_taken:
+                self._adoptions_to_finish.add(job)
+                self.adopt(job, saved)
+                self._adoptions_to_finish.discard(job)
+
     def _hand_over_job(
         self,
         job: str,
         saved: SavedSamples,
         jobs_by_holder: dict[str, int],
-    ) -> None:
+    ) -> bool:
+        """Hands a job over; returns whether another instance has it."""
         members = self._instances.members()
         members.pop(self._instances.member.name, None)
         adopt_request = _AdoptRequest(
@@ -633,12 +671,13 @@
                     "Job handed over.",
                     extra={"job": job, "to": member.name},
                 )
-                return
+                return True
             refused.append(member.name)
         _log.warning(
             "Job not handed over: no instance accepted it.",
             extra={"job": job},
         )
+        return False
 
     def _request_adoption(self, member: LiveInstance, request: bytes) -> bool:
         try:
@@ -767,6 +806,8 @@
 
     def _serve_adopt(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_AdoptRequest)
+        if self._reach.is_doubtful and request.job not in self._job_by_id:
+            return msgspec.msgpack.encode(False)
         try:
             sent = SavedSamples.from_parts(
                 request.events_by_name,
