Give up the coordinator's duty while no target is reached

A coordinator that had lost its links to all targets kept the duty and could give no order until they were back. It gives the duty up as at a stop, with the time from which the next one may give orders, and does not compete for it.

--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -113,6 +113,7 @@
             rng,
             settings.takeover_s,
             lambda: bool(self._jobs.open_jobs()),
+            lambda: self._targets.reach.is_isolated,
         )
         self._feed = RelayFeed(
             self._instances,
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -126,6 +126,7 @@
         rng: random.Random,
         takeover_s: float,
         has_jobs: Callable[[], bool] = lambda: False,
+        is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the task.
 
@@ -137,6 +138,8 @@
             takeover_s: How long a new coordinator waits before its first
                 order, so that engines don't get orders from two coordinators.
             has_jobs: Returns whether this instance holds unfinished jobs.
+            is_isolated: Returns whether this instance reaches no target, and
+                so can't give orders.
         """
         self.member = member
         self._store = store
@@ -144,6 +147,7 @@
         self._rng = rng
         self.takeover_s = takeover_s
         self._has_jobs = has_jobs
+        self._is_isolated = is_isolated
         self._prompt_lease_needed_at = float("-inf")
         self._registration = _Registration()
         self._members_by_name: dict[str, LiveInstance] = {}
@@ -309,6 +313,7 @@
         while not stop.is_set():
             try:
                 self._renew_or_register()
+                self._give_up_duty_if_isolated()
                 self._compete_for_duty()
             except StoreError as error:
                 _log.debug(
@@ -420,8 +425,20 @@
             duty.value.decode(), duty.lease, self.member.name, self._own_leases
         )
 
+    def _give_up_duty_if_isolated(self) -> None:
+        term = self._term
+        if term is None or not self._is_isolated():
+            return
+        with self._order_lock:
+            self._end_term("this instance reaches no target")
+        self._record_last_order(term)
+        expected = {_DUTY_KEY: term.fencing}
+        self._store.commit(
+            Transaction(expected, deletes=(_DUTY_KEY,)), self._deadline()
+        )
+
     def _may_take_duty(self, now: float) -> bool:
-        if self._leaving.is_set():
+        if self._leaving.is_set() or self._is_isolated():
             return False
         if self._had_duty_before_restart():
             return True
