--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -180,6 +180,10 @@
         # Called once for each incarnation whose response says that it is
         # draining.
         self.on_draining: Callable[[Incarnation], None] = lambda target: None
+        # Asks other instances whether they reach a target.
+        self.is_listening_elsewhere: Callable[[Incarnation], bool] = (
+            lambda target: False
+        )
         self.list_received = False
         self.list_received_at = 0.0
 
@@ -594,9 +598,11 @@
                 extra={"request_id": request_id, "target": target.name},
             )
             return True
-        if not self._is_any_listening(deadline, target.name):
+        if not self._is_any_listening(deadline, target.name) and (
+            self.is_listening_elsewhere(target.incarnation)
+        ):
             _log.info(
-                "Target closed a connection, and no target accepts one.",
+                "Target closed a connection, but accepts those of others.",
                 extra={"request_id": request_id, "target": target.name},
             )
             return False
@@ -607,13 +613,13 @@
     def _is_any_listening(self, deadline: float, failed: str) -> bool:
         """Returns whether this instance reaches a target beside a failed one.
 
-        Where it knows no other target, none can tell a crash from lost links.
+        Those are tried first that have not failed since any one answered.
         """
-        others = [t for t in self.accepting_work() if t.name != failed]
-        if not others:
-            return True
         if self.reach.is_doubtful:
             return False
+        unanswered = self.reach.unanswered()
+        others = [t for t in self.accepting_work() if t.name != failed]
+        others.sort(key=lambda target: target.name in unanswered)
         for target in others[:REACH_CHECKS]:
             sent_at = self._clock.monotonic()
             try:
--- a/hibiscuspin/tasks/target_exchange.py
+++ b/hibiscuspin/tasks/target_exchange.py
@@ -16,6 +16,7 @@
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import holders
 from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.edges import TargetError
 from hibiscuspin.errors import HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.peers.rpc import (
@@ -33,6 +34,7 @@
 
 CLEAR_METHOD = "targets.clear"
 DRAINING_METHOD = "targets.draining"
+LISTENING_METHOD = "targets.listening"
 LOAD_METHOD = "targets.load"
 RELEASE_METHOD = "targets.release"
 
@@ -43,6 +45,10 @@
 RELEASE_CALL_TIMEOUT_S = 0.8
 LOAD_CALL_TIMEOUT_S = 0.3
 DRAINING_CALL_TIMEOUT_S = 0.5
+LISTENING_CALL_TIMEOUT_S = 0.4
+LISTENING_TIMEOUT_S = 0.2
+# How many data centres are asked whether they reach a target.
+LISTENING_DATA_CENTRES = 3
 # Shorter than the 0.3 s within which short samples end.
 EXCHANGE_PERIOD_S = 0.2
 # While the holders are unknown, all instances are asked every so many periods.
@@ -120,12 +126,14 @@
             MAX_PARALLEL_CALLS, thread_name_prefix="tell"
         )
         targets.on_draining = self.report_draining
+        targets.is_listening_elsewhere = self._is_listening_elsewhere
 
     def handlers(self) -> dict[str, PeerCallHandler]:
         """Returns the handlers of calls from other instances, by method."""
         return {
             CLEAR_METHOD: self._serve_clear,
             DRAINING_METHOD: self._serve_draining,
+            LISTENING_METHOD: self._serve_listening,
             LOAD_METHOD: self._serve_load,
             RELEASE_METHOD: self._serve_release,
         }
@@ -243,6 +251,55 @@
                 extra={"instance": member.name, "reason": str(error)},
             )
 
+    def _is_listening_elsewhere(self, target: Incarnation) -> bool:
+        """Returns whether an instance of any data centre reaches a target.
+
+        One of each is asked, since a data centre may have lost its links as a
+        whole.
+        """
+        member_by_data_centre: dict[str, LiveInstance] = {}
+        for member in self._instances.others():
+            if not self._peers.is_suspect(member.address):
+                member_by_data_centre.setdefault(member.data_centre, member)
+        members = list(member_by_data_centre.values())[:LISTENING_DATA_CENTRES]
+        body = msgspec.msgpack.encode(target)
+        answers = self._executor.map(
+            lambda member: self._ask_listening(member, body), members
+        )
+        return any(list(answers))
+
+    def _ask_listening(self, member: LiveInstance, body: bytes) -> bool:
+        try:
+            answer = self._peers.call(
+                member.address, LISTENING_METHOD, body, LISTENING_CALL_TIMEOUT_S
+            )
+            return msgspec.msgpack.decode(answer, type=bool)
+        except (
+            PeerUnreachableError,
+            HibiscusError,
+            msgspec.DecodeError,
+        ) as error:
+            _log.info(
+                "Peer could not be asked whether it reaches a target.",
+                extra={"instance": member.name, "reason": str(error)},
+            )
+            return False
+
+    def _serve_listening(self, body: bytes) -> bytes:
+        incarnation = msgspec.msgpack.decode(body, type=Incarnation)
+        target = self._targets.get(incarnation.name)
+        is_listening = False
+        if target is not None and target.incarnation == incarnation:
+            deadline = self._clock.monotonic() + LISTENING_TIMEOUT_S
+            try:
+                is_listening = target.is_listening(deadline)
+            except TargetError as error:
+                _log.info(
+                    "Target not reached for another instance.",
+                    extra={"target": target.name, "reason": str(error)},
+                )
+        return msgspec.msgpack.encode(is_listening)
+
     def exchange_load(self, member: LiveInstance) -> bool:
         """Sends this instance's load to another one and records the other's.
 
