Keep a duty given up, also if the store loses the call that deletes it

A coordinator without links to targets that could not delete the duty's key at once took the duty for its own again when it next read the registrations, and never tried the deletion again. The new scenario failed before and passes.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -109,6 +109,14 @@
     And the other instances seek the duty
     Then no instance but the holder can get a term
 
+  Scenario: a coordinator that reaches no target gives up the duty
+    When all instances seek the duty
+    And the holder reaches no target, and the store loses its first answer
+    And all instances seek the duty
+    Then exactly one has a term
+    And the one that reaches no target has none
+    And its lease lives on
+
   Scenario: an instance that knows no other one yet does not seek the duty
     Given an instance that has just started
     Then it does not seek the duty before it has read the registrations
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -1,5 +1,6 @@
 """Steps on the registration of instances and the coordinator's duty."""
 
+import contextlib
 import random
 from collections import Counter
 from functools import partial
@@ -43,6 +44,7 @@
     context.store = MemoryStore()
     context.clock = FakeClock()
     context.names_with_jobs = set()
+    context.isolated_names = set()
     context.instances = [
         Instances(
             LiveInstance(name, "1", f"{name}:1", "dc"),
@@ -51,6 +53,7 @@
             random.Random(1),
             TAKEOVER_S,
             partial(context.names_with_jobs.__contains__, name),
+            partial(context.isolated_names.__contains__, name),
         )
         for name in names.split()
     ]
@@ -117,6 +120,31 @@
     raise AssertionError("no instance took the duty")
 
 
+@when("the holder reaches no target, and the store loses its first answer")
+def isolate_holder(context: Any) -> None:
+    context.isolated = isolated = holder(context)
+    context.isolated_names.add(isolated.member.name)
+    context.store.down = True
+    with contextlib.suppress(StoreError):
+        isolated._give_up_duty_if_isolated()
+    context.store.down = False
+    pass_live_keys(context)
+    assert isolated.term() is None
+    isolated._give_up_duty_if_isolated()
+    pass_live_keys(context)
+
+
+@then("the one that reaches no target has none")
+def check_isolated(context: Any) -> None:
+    assert context.isolated.term() is None
+
+
+@then("its lease lives on")
+def check_isolated_lease(context: Any) -> None:
+    lease = context.isolated._registration.lease
+    context.store.renew_lease(lease, 0.0)
+
+
 @when("the others read the registrations")
 def read_registrations(context: Any) -> None:
     pass_live_keys(context)
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -298,8 +298,8 @@
         term = self._term
         if term is not None and is_term_over(view, lease, term.fencing):
             self._end_term("the store names another holder or none")
-        leaving = self._leaving.is_set()
-        if not leaving and is_duty_unclaimed(view, lease, term is not None):
+        may_hold = not (self._leaving.is_set() or self._is_isolated())
+        if may_hold and is_duty_unclaimed(view, lease, term is not None):
             first_order_at = self._clock.monotonic() + self.takeover_s
             self._term = Term(view.revision, first_order_at)
             _log.info(
@@ -426,16 +426,19 @@
         )
 
     def _give_up_duty_if_isolated(self) -> None:
-        term = self._term
-        if term is None or not self._is_isolated():
+        if not self._is_isolated():
             return
-        with self._order_lock:
-            self._end_term("this instance reaches no target")
-        self._record_last_order(term)
-        expected = {_DUTY_KEY: term.fencing}
-        self._store.commit(
-            Transaction(expected, deletes=(_DUTY_KEY,)), self._deadline()
-        )
+        term = self._term
+        if term is not None:
+            with self._order_lock:
+                self._end_term("this instance reaches no target")
+            self._record_last_order(term)
+        duty = self._duty
+        if duty is not None and duty.lease in self._own_leases:
+            expected = {_DUTY_KEY: duty.revision}
+            self._store.commit(
+                Transaction(expected, deletes=(_DUTY_KEY,)), self._deadline()
+            )
 
     def _may_take_duty(self, now: float) -> bool:
         if self._leaving.is_set() or self._is_isolated():
