Prefer instances of the same region for requests that go through another one

One instance alone in its data centre sent requests on to any other one, half of them 8 ms away each way. The order is now data centre, region, others.

--- a/features/isolated_instances.feature
+++ b/features/isolated_instances.feature
@@ -64,3 +64,34 @@
     When calls come at each instance for 2 s, while t0 and t1 are unreachable
     Then nine tenths of the calls at each instance are served
     And no instance took its links for lost
+
+  Scenario Outline: a request goes through the nearest instance that has room, <case>
+    Given an instance of "dc-a" that knows "n1:dc-a n2:dc-a r1:dc-b o1:dc-c"
+    And <busy> have all the requests that they may get
+    And <resting> have just refused one
+    When a request that <tried> have had is to go through another instance
+    Then it goes through <chosen>
+
+    Examples: dc-a and dc-b lie in one region
+      | case                            | busy  | resting | tried    | chosen   |
+      | of this data centre             | none  | none    | r1 o1    | n1 or n2 |
+      | not twice through the same      | none  | none    | n1       | n2       |
+      | of this region                  | n1 n2 | none    | none     | r1       |
+      | not one that has just refused   | n1    | n2 r1   | none     | o1       |
+      | none                            | n1 n2 | r1      | o1       | nobody   |
+
+  Scenario Outline: what targets that don't answer say of the links, <history>
+    Given <known> known targets, and the history "<history>"
+    Then the links are <links>
+
+    Examples: unanswered targets; "ok" on an open connection, "new" on a new one
+      | known | history          | links    |
+      | 9     | t0 t1            | sound    |
+      | 9     | t0 t1 t2         | doubtful |
+      | 9     | t0 t0 t0         | sound    |
+      | 2     | t0 t1            | doubtful |
+      | 9     | t0 t1 ok t2      | sound    |
+      | 9     | t0 t1 t2 ok      | doubtful |
+      | 9     | t0 t1 t2 new     | sound    |
+      | 9     | t0 t1 t2 wait    | isolated |
+      | 9     | t0 t1 t2 wait ok | isolated |
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -765,6 +765,7 @@
         peer_targets = PeerTargets(
             instances,
             lambda other: self._connect_peer(peers, other.name),
+            {"dc": "r"},
             self.clock,
         )
         forwarder = Forwarder(targets, self.clock, peer_targets)
--- a/features/steps/isolated_instances_steps.py
+++ b/features/steps/isolated_instances_steps.py
@@ -5,20 +5,35 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
+from unittest import mock
 
 from behave import given, then, when
 
-from features.platform_fakes import SERVICE, MemoryFleet
+from features.platform_fakes import SERVICE, MemoryFleet, MemoryInstances
 from features.steps.platform_calls_steps import route
 from features.steps.platform_jobs_steps import JOB, wait_until
 from features.steps.software_versions_steps import new_streams, read_all
-from hibiscuspin.clock import monotonic
+from hibiscuspin.clock import SystemClock, monotonic
+from hibiscuspin.decisions.reach import (
+    ISOLATION_S,
+    Reach,
+    after_answer,
+    after_unanswered,
+    is_doubtful,
+    is_isolated,
+)
+from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.routes import CallKind
 from hibiscuspin.edges.discovery import ProxiedRequest
 from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
+from hibiscuspin.tasks.discovered import DiscoveredTarget
 from hibiscuspin.tasks.forwarding import ForwardedCall
 from hibiscuspin.tasks.job_recovery import JobRecovery
 from hibiscuspin.tasks.job_store import JobStore
+from hibiscuspin.tasks.peer_targets import (
+    MAX_REQUESTS_PER_PEER,
+    PeerTargets,
+)
 
 CALL_PERIOD_S = 0.05
 CALL_TIMEOUT_S = 2.0
@@ -29,6 +44,7 @@
 SERVED_SHARE = 0.9
 NOTICE_S = 3.0
 RETURN_S = 1.0
+STEP_S = 0.1
 
 
 class CallRecord(NamedTuple):
@@ -283,3 +299,79 @@
 def check_held_elsewhere(context: Any) -> None:
     stored = context.memory.store.read(f"hibiscuspin/jobs/{JOB}", 0.0)
     assert b'"holder":"a"' not in stored.value, stored.value
+
+
+@given('an instance of "{own}" that knows "{others}"')
+def set_peers(context: Any, own: str, others: str) -> None:
+    fields = [text.split(":") for text in others.split()]
+    members = {
+        name: LiveInstance(name, "1", f"{name}/1", data_centre)
+        for name, data_centre in fields
+    }
+    member = LiveInstance("own", "1", "own/1", own)
+    instances: Any = MemoryInstances(member, members, {})
+    context.peer_targets = PeerTargets(
+        instances,
+        lambda other: mock.Mock(),
+        {"dc-a": "r", "dc-b": "r", "dc-c": "other"},
+        SystemClock(),
+    )
+    # Creates their targets.
+    assert context.peer_targets.choose(()) is not None
+
+
+def peers_of(context: Any, names: str) -> list[DiscoveredTarget]:
+    by_member = context.peer_targets._target_by_member
+    return [by_member[m] for m in by_member if m.name in names.split()]
+
+
+@given("{names} have all the requests that they may get")
+def fill_peers(context: Any, names: str) -> None:
+    for target in peers_of(context, names):
+        target.in_flight = MAX_REQUESTS_PER_PEER
+
+
+@given("{names} have just refused one")
+def rest_peers(context: Any, names: str) -> None:
+    for target in peers_of(context, names):
+        target.backoff_until = monotonic() + NOTICE_S
+
+
+@when("a request that {names} have had is to go through another instance")
+def choose_peer(context: Any, names: str) -> None:
+    tried = [target.name for target in peers_of(context, names)]
+    context.chosen_peer = context.peer_targets.choose(tried)
+
+
+@then("it goes through {names}")
+def check_peer(context: Any, names: str) -> None:
+    chosen = context.chosen_peer
+    if names == "nobody":
+        assert chosen is None, chosen.name
+        return
+    assert chosen.name.removeprefix("instance ") in names.split(" or "), (
+        chosen.name
+    )
+
+
+@given('{known:d} known targets, and the history "{history}"')
+def set_reach(context: Any, known: int, history: str) -> None:
+    reach, now = Reach(), 0.0
+    for word in history.split():
+        now += STEP_S
+        if word == "wait":
+            now += ISOLATION_S
+        elif word in ("ok", "new"):
+            reach = after_answer(reach, now, new_connection=word == "new")
+        else:
+            reach = after_unanswered(reach, word, known, now)
+    context.reach, context.now = reach, now
+
+
+@then("the links are {links}")
+def check_links(context: Any, links: str) -> None:
+    if is_isolated(context.reach, context.now):
+        found = "isolated"
+    else:
+        found = "doubtful" if is_doubtful(context.reach) else "sound"
+    assert found == links, (found, context.reach)
--- a/hibiscuspin/decisions/reach.py
+++ b/hibiscuspin/decisions/reach.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "ISOLATION_S",
     "Reach",
     "after_answer",
     "after_unanswered",
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -139,6 +139,7 @@
         self._peer_targets = PeerTargets(
             self._instances,
             lambda member: PeerClient(member, self._clock),
+            settings.region_by_data_centre,
             self._clock,
         )
         self._forwarder = Forwarder(
--- a/hibiscuspin/tasks/peer_targets.py
+++ b/hibiscuspin/tasks/peer_targets.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions.recovery import LiveInstance
@@ -14,7 +14,7 @@
 from hibiscuspin.tasks.discovered import DiscoveredTarget
 from hibiscuspin.tasks.instances import Instances
 
-__all__ = ["PeerTargets"]
+__all__ = ["MAX_REQUESTS_PER_PEER", "PeerTargets"]
 
 # Requests of this instance that one other instance serves at once.
 MAX_REQUESTS_PER_PEER = 24
@@ -27,6 +27,7 @@
         self,
         instances: Instances,
         connect: Callable[[LiveInstance], TargetClient],
+        region_by_data_centre: Mapping[str, str],
         clock: Clock,
     ) -> None:
         """Creates the table.
@@ -34,10 +35,12 @@
         Args:
             instances: The other instances.
             connect: Creates the client of an instance.
+            region_by_data_centre: The region of each data centre.
             clock: The time source.
         """
         self._instances = instances
         self._connect = connect
+        self._region_by_data_centre = region_by_data_centre
         self._clock = clock
         self._lock = threading.Lock()
         self._target_by_member: dict[LiveInstance, DiscoveredTarget] = {}
@@ -45,20 +48,19 @@
     def choose(self, tried: Collection[str]) -> DiscoveredTarget | None:
         """Returns the instance through which to send a request, or None.
 
-        That is one of this data centre if any has room, and the one with the
-        fewest requests of this instance. One that has just refused or failed
-        is passed over.
+        That is one of this data centre if any has room, else of this region,
+        and the one with the fewest requests of this instance. One that has
+        just refused or failed is passed over.
 
         Args:
             tried: Names of the targets that have had the request.
         """
-        own = self._instances.member
         now = self._clock.monotonic()
         members = self._instances.others()
         with self._lock:
             self._update(members)
             candidates = [
-                (member.data_centre != own.data_centre, target.in_flight, index)
+                (self._distance(member), target.in_flight, index)
                 for index, member in enumerate(members)
                 if (target := self._target_by_member[member]).name not in tried
                 and target.backoff_until <= now
@@ -68,6 +70,14 @@
                 return None
             return self._target_by_member[members[min(candidates)[2]]]
 
+    def _distance(self, member: LiveInstance) -> int:
+        """Returns 0 in this data centre, 1 in this region, and 2 elsewhere."""
+        own = self._instances.member.data_centre
+        if member.data_centre == own:
+            return 0
+        regions = self._region_by_data_centre
+        return 1 if regions.get(member.data_centre) == regions.get(own) else 2
+
     def _update(self, members: list[LiveInstance]) -> None:
         for member in self._target_by_member.keys() - set(members):
             self._target_by_member.pop(member).client.close()
