Leave attempts on lost links uncounted only where another instance can help

Found by reading: with no instance left that reaches targets, attempts that hang on lost links did not count, and a repeatable call could go on to one target after the other. The new scenario bounds the attempts of a call that wait at once; it passed before too, since targets that time out are ejected first.

--- a/features/isolated_instances.feature
+++ b/features/isolated_instances.feature
@@ -19,6 +19,11 @@
       | a and b | hang   |
       | a and b | refuse |
 
+  Scenario: no call tries ever more targets when all instances have lost their links
+    Given instances a, b and c before 12 engines of 12 places
+    When calls come at each instance for 3 s, while from 1 s to 4 s the links of a and b and c hang
+    Then no call was sent to more than 3 targets at once
+
   Scenario Outline: streams at an instance whose links <fault>
     Given instances a, b and c before 4 engines of 12 places
     And two of the engines have software version v1, and two v2
--- a/features/memory_links.py
+++ b/features/memory_links.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 
 from hibiscuspin.clock import SystemClock
@@ -33,14 +34,30 @@
         fault: `hang`, `refuse`, `reset` (once, then as `hang`), `keep` (every
             second request finds an open connection, new ones are refused), or
             an empty string for sound links.
+        most_waiting_by_request: How many attempts of one request have waited
+            for connections at once.
     """
 
     def __init__(self) -> None:
         self.fault = ""
+        self.most_waiting_by_request = 0
+        self._waiting_by_request: Counter[str] = Counter()
         self._requests = itertools.count()
 
-    def connect(self, deadline: float, check: Callable[[], None]) -> None:
+    def connect(
+        self, request_id: str, deadline: float, check: Callable[[], None]
+    ) -> None:
         """Lets a request through, or raises how it fails."""
+        self._waiting_by_request[request_id] += 1
+        self.most_waiting_by_request = max(
+            self.most_waiting_by_request, self._waiting_by_request[request_id]
+        )
+        try:
+            self._connect(deadline, check)
+        finally:
+            self._waiting_by_request[request_id] -= 1
+
+    def _connect(self, deadline: float, check: Callable[[], None]) -> None:
         fault = self.fault
         if fault == "keep" and next(self._requests) % 2:
             return
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -457,7 +457,7 @@
         **options: Any,
     ) -> ProxiedResponse:
         """Sends a request; see `MemoryTarget.send`."""
-        self._links.connect(deadline, check)
+        self._links.connect(request.request_id, deadline, check)
         self._notify_draining()
         sent_at = SystemClock().monotonic()
         try:
@@ -469,7 +469,7 @@
         self, request: ProxiedRequest, after: int, wait: WaitLimits
     ) -> LinkedStream:
         """Starts a run; see `MemoryTarget.open_stream`."""
-        self._links.connect(wait.deadline, wait.check)
+        self._links.connect(request.request_id, wait.deadline, wait.check)
         self._notify_draining()
         sent_at = SystemClock().monotonic()
         try:
--- a/features/steps/isolated_instances_steps.py
+++ b/features/steps/isolated_instances_steps.py
@@ -250,6 +250,13 @@
     fleet.route_of_request = lambda request: route(CallKind.STREAM)
 
 
+@then("no call was sent to more than {most:d} targets at once")
+def check_spread(context: Any, most: int) -> None:
+    links = context.memory.links_by_name.values()
+    waiting = max(link.most_waiting_by_request for link in links)
+    assert 0 < waiting <= most, waiting
+
+
 @given("the links of a {fault:w}")
 def cut_links(context: Any, fault: str) -> None:
     set_stream_route(context.memory)
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -329,19 +329,21 @@
         hedge_at = (
             self._hedge_at if verdict is Verdict.NORMAL else self._deadline
         )
-        if self._in_flight and self._in_flight == self._count_unreachable():
+        has_peer = self._choose_peer() is not None
+        unreachable = self._count_unreachable() if has_peer else 0
+        if self._in_flight and self._in_flight == unreachable:
             hedge_at = self._clock.monotonic()
         progress = attempts.CallProgress(
             self._repeatable,
             call.route.max_attempts,
             self._in_flight,
-            self._may_have_run - self._count_unreachable(),
+            self._may_have_run - unreachable,
             hedge_at,
             self._deadline,
         )
         load = self._forwarder.load(call.service, deferrable=call.deferrable)
         load = load._replace(ahead=max(0, load.ahead - 1))
-        if self._choose_peer() is not None:
+        if has_peer:
             # The other instance decides by its own load.
             load = load._replace(free=1)
         now = self._clock.monotonic()
