--- a/hibiscuspin/platform/peer_client.py
+++ b/hibiscuspin/platform/peer_client.py
@@ -19,13 +19,12 @@
     """The headers of a request that another instance sends on.
 
     Attributes:
-        max_attempts: How many targets may get the request; 0 if it comes from
-            a caller.
+        max_attempts: How many targets may get the request.
         avoid: The targets that have had it.
     """
 
-    max_attempts: int = 0
-    avoid: tuple[str, ...] = ()
+    max_attempts: int
+    avoid: tuple[str, ...]
 
     @classmethod
     def from_headers(cls, headers: Mapping[str, str]) -> "RelayHeaders":
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -170,6 +170,9 @@
 
         Returns:
             The headers of the target that generated them.
+
+        Raises:
+            HibiscusError: No target generated any.
         """
         while True:
             headers = self.start()
@@ -206,7 +209,14 @@
             )
 
     def start(self) -> Sequence[tuple[str, str]]:
-        """Opens the stream on a target."""
+        """Opens the stream on a target.
+
+        Returns:
+            The headers of its response.
+
+        Raises:
+            HibiscusError: No target may continue the stream, or none did.
+        """
         if self._begun_by is not None:
             self._refused_until = self._clock.monotonic() + RESUME_TIMEOUT_S
         while self._may_start():
