Fence a job's own earlier writes when nobody takes it over

Found by reading: a job that an instance without links offered and then went on with kept its head, so a write of unknown outcome that it had begun before could still take effect, and the next chunk would have been fenced by it: the job would have stopped at an instance that counts as its holder. The head is now replaced as in any takeover. The new scenario failed before and passes.

--- a/features/isolated_instances.feature
+++ b/features/isolated_instances.feature
@@ -56,6 +56,14 @@
       | hang   |
       | refuse |
 
+  Scenario: a job goes on where it is when no instance reaches a target
+    Given instances a, b and c before 4 engines of 12 places
+    When a accepts a job of 4 groups of 8 samples with 100 events
+    And the links of b and c hang, too, until 2.5 s
+    And after 0.1 s the links of a hang
+    Then all results of the job are listed within 10 s
+    And its head was replaced while nobody took it
+
   Scenario: a job that arrives at an instance without links is held elsewhere
     Given instances a, b and c before 4 engines of 12 places
     And the links of a hang
--- a/features/steps/isolated_instances_steps.py
+++ b/features/steps/isolated_instances_steps.py
@@ -302,6 +302,40 @@
     timer.join()
 
 
+@when("the links of b and c hang, too, until {seconds:g} s")
+def cut_all(context: Any, seconds: float) -> None:
+    fleet = context.memory
+    context.first_head = fleet.store.read(f"hibiscuspin/jobs/{JOB}", 0.0)
+    for name in "bc":
+        fleet.links_by_name[name].fault = "hang"
+        reach = fleet.discovered_by_name[name].reach
+        reach.record_unanswered("t0", monotonic())
+
+    def reconnect() -> None:
+        for links in fleet.links_by_name.values():
+            links.fault = ""
+
+    timer = threading.Timer(seconds, reconnect)
+    timer.start()
+    context.add_cleanup(timer.join)
+    for name in "bc":
+        reach = fleet.discovered_by_name[name].reach
+        assert wait_until(lambda r=reach: r.is_doubtful, NOTICE_S), name  # type: ignore[misc]
+
+
+@then("its head was replaced while nobody took it")
+def check_fenced(context: Any) -> None:
+    stored = context.memory.store.read(f"hibiscuspin/jobs/{JOB}", 0.0)
+    assert b'"holder":"a"' in stored.value, stored.value
+    replaced = [
+        key
+        for key in context.memory.store.committed_keys
+        if key == f"hibiscuspin/jobs/{JOB}"
+    ]
+    # Created, replaced at least once, and done.
+    assert len(replaced) >= 3, replaced
+
+
 @then("another instance than a held the job at the end")
 def check_held_elsewhere(context: Any) -> None:
     stored = context.memory.store.read(f"hibiscuspin/jobs/{JOB}", 0.0)
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -506,12 +506,20 @@
         except FencedError as fenced:
             return fenced.current
 
-    def adopt(self, job: str, sent: SavedSamples | None = None) -> bool:
+    def adopt(
+        self,
+        job: str,
+        sent: SavedSamples | None = None,
+        *,
+        from_itself: bool = False,
+    ) -> bool:
         """Takes over a job from the store; returns whether it is held here.
 
         Args:
             job: The job's id.
             sent: The unpublished samples, as the previous holder sent them.
+            from_itself: Whether this instance has just stopped the job. The
+                new head fences what that one still writes.
 
         Raises:
             StoreError: The store could not be reached.
@@ -523,12 +531,12 @@
                 return True
             self._adopting.add(job)
         try:
-            return self._adopt(job, sent or SavedSamples())
+            return self._adopt(job, sent or SavedSamples(), from_itself)
         finally:
             with self._lock:
                 self._adopting.discard(job)
 
-    def _adopt(self, job: str, sent: SavedSamples) -> bool:
+    def _adopt(self, job: str, sent: SavedSamples, from_itself: bool) -> bool:
         deadline = self._clock.monotonic() + ADOPT_TIMEOUT_S
         stored = self._store.head(job, deadline)
         if stored is None or stored.head["ended"] or stored.head["done"]:
@@ -542,7 +550,7 @@
             )
             return False
         previous_holder = stored.head["holder"]
-        if not self._is_held_here(stored.head):
+        if from_itself or not self._is_held_here(stored.head):
             member = self._instances.member
             head: JobHead = {
                 **stored.head,
@@ -642,7 +650,7 @@
             self._drop(job)
             if not is_taken:
                 self._adoptions_to_finish.add(job)
-                self.adopt(job, saved)
+                self.adopt(job, saved, from_itself=True)
                 self._adoptions_to_finish.discard(job)
 
     def _hand_over_job(
