--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -53,9 +53,6 @@
       | t0 t1 ok t2     | suspect      |
       | t0 t1 t2 ok     | normal       |
       | ok t0 t1 t2     | refuse       |
-      | t0 t1+ t2+      | suspect      |
-      | t0 t1+ t2       | suspect_once |
-      | t0 t1+ t2 t3    | refuse       |
 
   Scenario: what two instances know adds up
     Given a request with the history "t0 t1"
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -27,7 +27,6 @@
 
 CRASHES_TO_REFUSAL = 3
 REPEAT_PERIOD_S = 0.1
-TOGETHER_S = 0.002
 REFUSAL_CODE = "target_crasher"
 
 
@@ -205,17 +204,14 @@
 def set_history(context: Any, history: str) -> None:
     record = None
     words = [] if history == "none" else history.split()
-    at = 0.0
-    for number, word in enumerate(words):
-        # "t1+" crashes right after the one before it.
-        at = at + TOGETHER_S if word.endswith("+") else float(number)
+    for at, word in enumerate(words):
         if word == "ok":
-            record = crashes.after_success(record or CrashRecord(), at)
+            record = crashes.after_success(record or CrashRecord(), float(at))
         else:
             # Sent just before it crashed, or before all crashes: "t0@0".
-            target, _, sent_at = word.removesuffix("+").partition("@")
+            target, _, sent_at = word.partition("@")
             record = crashes.after_crash(
-                record, target, float(sent_at or at - 0.5), at
+                record, target, float(sent_at or at - 0.5), float(at)
             )
     context.record = record
 
--- a/hibiscuspin/decisions/crashes.py
+++ b/hibiscuspin/decisions/crashes.py
@@ -25,8 +25,6 @@
 MAX_CRASHES = 3
 # After this many, a caller's attempt tries no other target.
 MAX_CRASHES_TO_RETRY = 1
-# Crashes within this time are one event.
-TOGETHER_S = 0.02
 MAX_RECORDS = 10_000
 RECORD_TTL_S = 3600.0
 DIGEST_BYTES = 16
@@ -59,18 +57,10 @@
 
     @property
     def crashes(self) -> int:
-        """The crashes since it last completed.
-
-        Targets that crash together have lost their rack or their power, and
-        count once.
-        """
-        crashes = 0
-        counted_at = float("-inf")
-        for at in sorted(self.crashed_at_by_target.values()):
-            if at > self.succeeded_at and at > counted_at + TOGETHER_S:
-                crashes += 1
-                counted_at = at
-        return crashes
+        """The crashes since it last completed."""
+        return sum(
+            at > self.succeeded_at for at in self.crashed_at_by_target.values()
+        )
 
 
 def fingerprint(host: str, path: str, caller: str, body: bytes) -> str:
