Add the types that organisations, usage reports and scaling share

Records and calls between instances are encoded as before while no organisation is named. Settings read the duties and the engine memory contract.

--- /dev/null
+++ b/hibiscuspin/decisions/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on organisations: their keys and their shares of the slots."""
--- /dev/null
+++ b/hibiscuspin/decisions/prompts/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the prompts and the memory of engines."""
--- a/hibiscuspin/decisions/routes.py
+++ b/hibiscuspin/decisions/routes.py
@@ -9,6 +9,9 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from hibiscuspin.decisions.organisations.keys import KeyTable
+from hibiscuspin.decisions.scaling.limits import ScalingLimits
+
 __all__ = [
     "CallKind",
     "ClientLimits",
@@ -60,6 +63,7 @@
             are due.
         keep_s: The time from the submission of a job until its unfinished
             items are given up.
+        public: Whether its requests need no key.
     """
 
     name: str
@@ -75,6 +79,7 @@
     single_version: bool = False
     result_due_s: float = 0.0
     keep_s: float = 0.0
+    public: bool = False
 
 
 class RouteTable(NamedTuple):
@@ -85,12 +90,16 @@
         routes_by_host: Routes by host, the longest prefix first.
         limits: Limits for clients.
         event_tokens_by_service: Tokens per stream event of each service.
+        keys: The keys of organisations; None if requests need no key.
+        scaling_by_service: Limits of the services whose engines are ordered.
     """
 
     version: int
     routes_by_host: Mapping[str, Sequence[ForwardRoute]]
     limits: ClientLimits
     event_tokens_by_service: Mapping[str, float]
+    keys: KeyTable | None = None
+    scaling_by_service: Mapping[str, ScalingLimits] = {}
 
 
 def sorted_routes(
--- /dev/null
+++ b/hibiscuspin/decisions/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how many engines to order, and where."""
--- /dev/null
+++ b/hibiscuspin/decisions/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on usage reports: windows of true time and their counts."""
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -80,6 +80,7 @@
             for the target's default.
         relay: The terms for an instance that sends it on; None if it goes to
             a target.
+        organisation: The organisation that sent it; empty for none.
     """
 
     request_id: str
@@ -89,6 +90,7 @@
     body: bytes
     urgency: int | None = None
     relay: RelayTerms | None = None
+    organisation: str = ""
 
 
 class ProxiedResponse(NamedTuple):
--- a/hibiscuspin/platform/settings.py
+++ b/hibiscuspin/platform/settings.py
@@ -8,9 +8,36 @@
 
 from hibiscuspin.settings import Address, SettingsError, parse_address
 
-__all__ = ["PlatformSettings", "read_settings_file", "relay_address"]
+__all__ = [
+    "DutySettings",
+    "PlatformSettings",
+    "read_settings_file",
+    "relay_address",
+]
 
 MS_PER_S = 1000.0
+USAGE_DUTY = "usage_report"
+SCALING_DUTY = "autoscale"
+# With this contract, an engine crashes if its requests exceed its memory.
+MEMORY_CONTRACT = "pressure"
+
+
+class DutySettings(NamedTuple):
+    """The calls to the platform that one instance at a time makes.
+
+    Attributes:
+        address: Where they go.
+        reports_usage: Whether the platform wants reports of usage.
+        orders_engines: Whether engines can be ordered.
+        window_s: The length of the windows of usage reports; 0 without them.
+        report_due_s: How long after its window's end a report is due.
+    """
+
+    address: Address
+    reports_usage: bool
+    orders_engines: bool
+    window_s: float
+    report_due_s: float
 
 
 class PlatformSettings(NamedTuple):
@@ -33,6 +60,10 @@
             so that engines don't receive orders from two coordinators.
         first_start: Whether this is the system's first start, with an empty
             store.
+        duties: The calls that one instance at a time makes; None if there are
+            none.
+        limited_memory: Whether an engine crashes if its requests exceed its
+            memory.
     """
 
     instance: str
@@ -48,6 +79,8 @@
     keep_s: float
     takeover_s: float
     first_start: bool
+    duties: DutySettings | None = None
+    limited_memory: bool = False
 
 
 def read_settings_file(path: pathlib.Path) -> PlatformSettings:
@@ -86,12 +119,32 @@
         # `lease_ms` concerns orders to engines, not leases of the store.
         takeover_s=reader.number("bounds", "lease_ms") / MS_PER_S,
         first_start=raw.get("bootstrap") is True,
+        duties=_read_duties(reader),
+        limited_memory=MEMORY_CONTRACT in (raw.get("contracts") or ()),
     )
     if reader.problems:
         raise SettingsError([f"{path}: {text}" for text in reader.problems])
     return settings
 
 
+def _read_duties(reader: "_FieldReader") -> DutySettings | None:
+    names = reader.optional_list("cloud", "duties")
+    if not names:
+        return None
+    reports_usage = USAGE_DUTY in names
+    return DutySettings(
+        address=reader.address("cloud", "address"),
+        reports_usage=reports_usage,
+        orders_engines=SCALING_DUTY in names,
+        window_s=reader.number("bounds", "report_window_s")
+        if reports_usage
+        else 0.0,
+        report_due_s=reader.number("bounds", "usage_late_s")
+        if reports_usage
+        else 0.0,
+    )
+
+
 def relay_address(peer_address: Address) -> Address:
     """Returns where an instance accepts requests of other instances."""
     return peer_address._replace(port=peer_address.port + 1)
@@ -120,6 +173,15 @@
         self.problems.append(f"{table}.{name}: expected a number")
         return 0.0
 
+    def optional_list(self, table: str, name: str) -> list[Any]:
+        found = self._nested_value(table, name)
+        if found is None:
+            return []
+        if isinstance(found, list):
+            return found
+        self.problems.append(f"{table}.{name}: expected a list")
+        return []
+
     def address(self, table: str, name: str) -> Address:
         found = self.optional_address(table, name)
         if found is None:
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -72,6 +72,8 @@
             new stream.
         is_relayed: Whether another instance sends it, which reaches no target.
         avoid: The targets that have had it there.
+        organisation: The organisation that sent it; empty for none.
+        priority: Its priority; 0 is the highest.
     """
 
     request: ProxiedRequest
@@ -86,6 +88,8 @@
     resumed_after: int = 0
     is_relayed: bool = False
     avoid: tuple[str, ...] = ()
+    organisation: str = ""
+    priority: int = 5
 
     @property
     def is_resumption(self) -> bool:
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -115,6 +115,7 @@
         required_groups: How many complete groups the trainer waits for; 0 for
             all.
         items: The samples to generate.
+        organisation: The organisation that submitted it; empty for none.
     """
 
     job: str
@@ -124,6 +125,7 @@
     oldest_version: int
     required_groups: int
     items: Sequence[JobItem]
+    organisation: str = ""
 
 
 class ItemResult(NamedTuple):
@@ -492,7 +494,7 @@
 
 def _encode_parts(contents: JobContents) -> list[bytes]:
     items = [trim_default(item) for item in contents.items]
-    packed = _pack(contents._replace(items=items))
+    packed = _pack(trim_default(contents._replace(items=items)))
     return [
         packed[start : start + MAX_PART_BYTES]
         for start in range(0, len(packed), MAX_PART_BYTES)
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -190,7 +190,7 @@
             body = self._peers.call(
                 holder.address,
                 ACCEPT_METHOD,
-                msgspec.msgpack.encode(contents),
+                msgspec.msgpack.encode(trim_default(contents)),
                 ACCEPT_CALL_TIMEOUT_S,
             )
         except PeerUnreachableError as error:
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -473,6 +473,7 @@
             self._submitted_at,
             self._give_up_at,
             self._stopped.is_set,
+            self.contents.organisation,
         )
         run = SampleRun(sample, target, targets, limits, self._clock)
         sample.run = run
--- /dev/null
+++ b/hibiscuspin/tasks/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that serve organisations by their shares."""
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -113,6 +113,7 @@
         submitted_at: When the job was submitted, in monotonic time.
         deadline: When samples are given up, in monotonic time.
         stopped: Returns whether the job has stopped on this instance.
+        organisation: The organisation that submitted it; empty for none.
     """
 
     host: str
@@ -122,6 +123,7 @@
     submitted_at: float
     deadline: float
     stopped: Callable[[], bool]
+    organisation: str = ""
 
 
 class _RunStoppedError(Exception):
@@ -222,6 +224,7 @@
             headers,
             item.body,
             urgency(self.sample.events, age_s),
+            organisation=self._limits.organisation,
         )
 
     def _wait_limits(self, stall_s: float) -> WaitLimits:
--- /dev/null
+++ b/hibiscuspin/tasks/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that order engines from the platform."""
--- /dev/null
+++ b/hibiscuspin/tasks/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that count requests and report them to the platform."""
