End a link whose stream ends as a message is queued

The main thread waited for the thread of hub a-2; its task stood in Links.close, which waited for a writer that had been cancelled and went on. In Python 3.11 asyncio.wait_for returns the result if its awaitable ends in the same turn of the loop as the cancellation arrives, so the writer never saw it and its link never ended. asyncio.timeout does not lose it.

PeerCalls used wait_for too.

--- a/features/shared_peers.feature
+++ b/features/shared_peers.feature
@@ -38,3 +38,7 @@
   Scenario: A stranger's call is refused
     When a stranger calls "echo" on "a-2"
     Then the peer call gives "failed"
+
+  Scenario: A link ends although a message is queued as its stream ends
+    When streams end up to 5 turns of the event loop after a message is queued
+    Then their links end within 2 s
--- a/features/steps/shared_peers_steps.py
+++ b/features/steps/shared_peers_steps.py
@@ -1,5 +1,6 @@
 """Steps for peer hubs that run in the test's process."""
 
+import asyncio
 import threading
 import time
 from typing import Any
@@ -8,7 +9,9 @@
 
 from bench.fleet import free_address, wait_for
 from hibiscuspin.clock import monotonic
+from hibiscuspin.peers import hibiscuspin_pb2
 from hibiscuspin.peers.hub import PeerError, PeerHub, PeerRecord
+from hibiscuspin.peers.link import Link
 
 WAIT_S = 20.0
 SECRET = "peer-steps-secret"
@@ -135,3 +138,54 @@
 @then('the peer call gives "{result}"')
 def check_result(context: Any, result: str) -> None:
     assert context.peer_result == result, context.peer_result
+
+
+class _EndingStream:
+    """Queues a message on its link, and ends some turns of the loop later."""
+
+    def __init__(self, turns: int) -> None:
+        self._turns = turns
+        self.link = Link(self, lambda link, update: None, lambda link: None)
+
+    async def send_message(self, message: Any) -> None:
+        await asyncio.sleep(0)
+
+    def __aiter__(self) -> "_EndingStream":
+        return self
+
+    async def __anext__(self) -> Any:
+        # The writer waits for messages by then.
+        await asyncio.sleep(0.01)
+        self.link.send(hibiscuspin_pb2.Update())
+        for _ in range(self._turns):
+            await asyncio.sleep(0)
+        raise StopAsyncIteration
+
+
+@when(
+    "streams end up to {turns:d} turns of the event loop after a message is "
+    "queued"
+)
+def prepare_ending_streams(context: Any, turns: int) -> None:
+    context.ending_streams = [_EndingStream(n) for n in range(turns + 1)]
+
+
+@then("their links end within {seconds:g} s")
+def check_links_end(context: Any, seconds: float) -> None:
+    async def run_links() -> list[int]:
+        hello = hibiscuspin_pb2.Update()
+        tasks = [
+            asyncio.create_task(stream.link.run(hello))
+            for stream in context.ending_streams
+        ]
+        await asyncio.wait(tasks, timeout=seconds)
+        open_links = [n for n, task in enumerate(tasks) if not task.done()]
+        # A writer that has missed its cancellation takes the next one.
+        while not all(task.done() for task in tasks):
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+            await asyncio.sleep(0.01)
+        return open_links
+
+    open_links = asyncio.run(run_links())
+    assert not open_links, f"links open after so many turns: {open_links}"
--- a/hibiscuspin/peers/calls.py
+++ b/hibiscuspin/peers/calls.py
@@ -66,7 +66,8 @@
             raise PeerError(PeerErrorKind.TIMEOUT, method)
         channel = self._get_channel(address)
         try:
-            await asyncio.wait_for(channel.__connect__(), timeout)
+            async with asyncio.timeout(timeout):
+                await channel.__connect__()
         except (OSError, TimeoutError) as error:
             self._close_channel(address)
             raise PeerError(PeerErrorKind.UNREACHABLE, method) from error
--- a/hibiscuspin/peers/link.py
+++ b/hibiscuspin/peers/link.py
@@ -121,8 +121,11 @@
 
     async def _write(self) -> None:
         while True:
+            # Not `wait_for`, which in Python 3.11 loses a cancellation that
+            # arrives together with the event.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), HEARTBEAT_INTERVAL_S)
+                async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                    await self._wake.wait()
                 await asyncio.sleep(BATCH_DELAY_S)
             self._wake.clear()
             for update in self._take_queued():
