Check callers' keys and send organisations' names to targets

Cause: targets are shared by organisations, and a request must be charged to the right one. So far Authorization passed through unchecked. Change: keys of the configuration are decoded into a table of digests, checked once for each request against the table in force, and replaced by X-Tenant towards targets and by Hibiscuspin-Organisation between instances. A missing or unknown key is refused with 401 only while the configuration is known to be current, otherwise with 503. Jobs belong to an organisation, which their head and contents name; others find no such job. The watcher passes values to its listener before it reports its copy as current, as a new key could otherwise be refused for good by the table before it. Without the field for organisations, headers and stored records are as before (two scenarios).

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -250,6 +250,7 @@
         software_version: The version of its software.
         marks_events: Whether each event names the software version.
         is_draining: Whether its entry says that it is draining.
+        requests: All requests that it got.
     """
 
     def __init__(self, name: str) -> None:
@@ -276,6 +277,7 @@
         self.software_version = "v1"
         self.marks_events = False
         self.is_draining = False
+        self.requests: list[ProxiedRequest] = []
 
     def send(
         self,
@@ -286,6 +288,7 @@
         fresh: bool = False,
     ) -> ProxiedResponse:
         """Responds with its name, after the time of one event."""
+        self.requests.append(request)
         self.runs.setdefault(request.request_id, []).append(0)
         arrived_at = SystemClock().monotonic()
         born_ms = self._check_up()
@@ -356,6 +359,7 @@
     ) -> "MemoryStream":
         """Starts a run whose first event follows the event `after`."""
         after = after or int(request.headers.get("Last-Event-Id", 0))
+        self.requests.append(request)
         self.runs.setdefault(request.request_id, []).append(after)
         self._check_up()
         self.arrived_at.append(SystemClock().monotonic())
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -112,6 +112,7 @@
     r"|/hibiscuspin/(lots|items|order|report|ready)|HIBISCUSPIN_BOOT"
     r"|allow_stale|has_more|as_of|group_count|min_version|queue_ttl"
     r"|slo_ms|seq_no|cold_left|servers/|op/config|op/version|op/retire"
+    r"|X-Tenant|api_keys"
 )
 
 
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -7,6 +7,8 @@
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
+from hibiscuspin.organisation_counts import OrganisationCounts
+
 __all__ = ["Metrics"]
 
 MIN_LATENCY_US = 1
@@ -26,6 +28,8 @@
         self._sums_by_path: dict[str, float] = {}
         self._registry = CollectorRegistry()
         self._registry.register(self)
+        self.organisations = OrganisationCounts()
+        self._registry.register(self.organisations)
         self.requests = Counter(
             "hibiscuspin_requests",
             "Requests by path and error code.",
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -17,13 +17,9 @@
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerHttpClient, peer_app
 from hibiscuspin.platform import engines, operators, retirement
-from hibiscuspin.platform.callers import (
-    ClientInterface,
-    RelayInterface,
-    ready_app,
-    text_app,
-)
+from hibiscuspin.platform.callers import ClientInterface, RelayInterface
 from hibiscuspin.platform.peer_client import PeerClient
+from hibiscuspin.platform.responses import ready_app, text_app
 from hibiscuspin.platform.settings import PlatformSettings, read_settings_file
 from hibiscuspin.platform.store import KeyValueStore
 from hibiscuspin.settings import Address, SettingsError
@@ -138,7 +134,9 @@
         )
         self._peer_targets = PeerTargets(
             self._instances,
-            lambda member: PeerClient(member, self._clock),
+            lambda member: PeerClient(
+                member, self._clock, self._has_organisations
+            ),
             settings.region_by_data_centre,
             self._clock,
         )
@@ -439,7 +437,13 @@
         on_draining: Callable[[], None],
         on_limit: LimitListener,
     ) -> engines.EngineClient:
-        return engines.EngineClient(record, self._clock, on_draining, on_limit)
+        return engines.EngineClient(
+            record, self._clock, on_draining, on_limit, self._has_organisations
+        )
+
+    def _has_organisations(self) -> bool:
+        table = self._routes.table
+        return table is not None and table.keys is not None
 
     def _on_config(self, values_by_key: Mapping[str, StoredValue]) -> None:
         table = operators.decode_table(values_by_key)
--- a/hibiscuspin/platform/batches.py
+++ b/hibiscuspin/platform/batches.py
@@ -9,6 +9,7 @@
 
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.platform import words
+from hibiscuspin.platform.identity import ANONYMOUS, CallerIdentity
 from hibiscuspin.tasks.job_store import (
     ItemResult,
     JobContents,
@@ -25,7 +26,13 @@
 _JOB_ID = re.compile(r"[A-Za-z0-9._~-]{1,100}")
 
 
-def decode_job(job: str, host: str, path: str, body: bytes) -> JobContents:
+def decode_job(
+    job: str,
+    host: str,
+    path: str,
+    body: bytes,
+    identity: CallerIdentity = ANONYMOUS,
+) -> JobContents:
     """Decodes a submitted batch job.
 
     Args:
@@ -33,6 +40,8 @@
         host: The host to which the trainer sent the job.
         path: The path to which the trainer sent the job.
         body: The request's body.
+        identity: Who submits it. Where there are organisations, items lose
+            the headers that name a caller.
 
     Raises:
         HibiscusError: `BAD_JSON` or `BAD_FIELD`.
@@ -50,7 +59,7 @@
             ErrorKind.BAD_JSON, f"The body is not valid JSON: {error}"
         ) from error
     try:
-        items = tuple(_decode_item(row) for row in raw["items"])
+        items = tuple(_decode_item(row, identity) for row in raw["items"])
         contents = JobContents(
             job=job,
             host=host,
@@ -61,6 +70,7 @@
             # of groups in the job.
             required_groups=int(raw.get("group_count") or 0),
             items=items,
+            organisation=identity.organisation,
         )
     except words.DECODE_ERRORS as error:
         raise HibiscusError(
@@ -72,12 +82,12 @@
     return contents
 
 
-def _decode_item(raw: dict[str, Any]) -> JobItem:
+def _decode_item(raw: dict[str, Any], identity: CallerIdentity) -> JobItem:
     headers = {str(k): str(v) for k, v in (raw.get("headers") or {}).items()}
     return JobItem(
         name=_require_text(raw["id"]),
         target=_require_text(raw["path"]),
-        headers=headers,
+        headers=identity.forwarded_headers(headers),
         body=b64decode(raw.get("body") or "", validate=True),
         group=str(raw.get("group") or raw["id"]),
         tokens=_expected_tokens(headers),
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -1,13 +1,13 @@
 """The HTTP interface for the platform's clients and trainers."""
 
 import urllib.parse
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import crashes
+from hibiscuspin.decisions.organisations.job_access import Requester
 from hibiscuspin.decisions.routes import CallKind, ForwardRoute
-from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import ProxiedRequest
 from hibiscuspin.edges.wsgi import Response, error_response
 from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
@@ -15,14 +15,16 @@
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.platform import batches, words
 from hibiscuspin.platform.engines import NOT_FORWARDED_HEADERS
+from hibiscuspin.platform.identity import CallerIdentity
 from hibiscuspin.platform.peer_client import RelayHeaders
+from hibiscuspin.platform.responses import StartResponse, send_response
 from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
 from hibiscuspin.tasks.job_store import JobContents
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 
-__all__ = ["ClientInterface", "RelayInterface", "ready_app", "text_app"]
+__all__ = ["ClientInterface", "RelayInterface"]
 
 JOBS_PATH = "/hibiscuspin/lots/"
 ITEMS_PATH = "/hibiscuspin/items/"
@@ -30,8 +32,6 @@
 MAX_WAIT_S = 1.0
 ACCEPTED_STATUS = 202
 
-StartResponse = Callable[..., Any]
-
 _log = get_logger("callers")
 
 
@@ -85,16 +85,19 @@
         """Serves one request."""
         started = self._clock.monotonic()
         incoming = _parse_request(environ)
-        endpoint = "other"
+        identity = self._identify(incoming)
+        endpoint, outcome = "other", "ok"
         try:
-            endpoint, response = self._dispatch(incoming, started)
+            endpoint, response = self._dispatch(incoming, identity, started)
         except HibiscusError as error:
+            outcome = str(error.kind)
             response = self._error_response(error, incoming)
             _log.info(
                 "Request refused.",
                 extra={
                     "request_id": incoming.header(words.REQUEST_ID_HEADER),
                     "path": incoming.path,
+                    "organisation": identity.organisation,
                     "code": str(error.kind),
                     "ran": str(error.ran),
                     "reason": error.detail,
@@ -105,63 +108,96 @@
                 "Request failed.",
                 extra={"request_id": incoming.header(words.REQUEST_ID_HEADER)},
             )
+            outcome = str(ErrorKind.INTERNAL)
             response = error_response(
                 HibiscusError(ErrorKind.INTERNAL, "An internal error occurred.")
             )
+        if identity.has_organisations:
+            self._metrics.organisations.count(identity.organisation, outcome)
         self._metrics.requests.labels(endpoint, str(response.status)).inc()
         self._metrics.observe(endpoint, self._clock.monotonic() - started)
-        return _start_response(response, start_response)
+        return send_response(response, start_response)
+
+    def _identify(self, incoming: _IncomingRequest) -> CallerIdentity:
+        is_current = self._routes_current()
+        authorization = incoming.header(words.AUTHORIZATION_HEADER)
+        return CallerIdentity.from_key(
+            is_current, self._routes.table, authorization
+        )
 
     def _error_response(
         self, error: HibiscusError, incoming: _IncomingRequest
     ) -> Response:
-        return error_response(error)
+        response = error_response(error)
+        if error.kind is not ErrorKind.NO_TOKEN:
+            return response
+        challenge = ("WWW-Authenticate", "Bearer")
+        return response._replace(headers=(*response.headers, challenge))
 
     def _dispatch(
-        self, incoming: _IncomingRequest, started: float
+        self,
+        incoming: _IncomingRequest,
+        identity: CallerIdentity,
+        started: float,
     ) -> tuple[str, Response]:
         """Returns the endpoint's name in the metrics, and the response."""
-        if incoming.path.startswith(JOBS_PATH):
-            job = incoming.path.removeprefix(JOBS_PATH)
-            if incoming.method == "DELETE":
-                self._jobs.end(job)
-                return "job_end", Response(200, words.JSON_CONTENT_TYPE, b"{}")
-            return "job_results", self._read_results(job, incoming)
-        if incoming.path.startswith(ITEMS_PATH):
-            job = incoming.path.removeprefix(ITEMS_PATH)
-            body = self._jobs.item_body(job, incoming.query.get("id", ""))
-            content_type = "application/octet-stream"
-            return "job_item", Response(200, content_type, body)
-        route = self._routes.find(
-            incoming.host, incoming.path, self._routes_current()
-        )
+        if incoming.path.startswith((JOBS_PATH, ITEMS_PATH)):
+            try:
+                return self._serve_job(incoming, identity.requester())
+            except HibiscusError as error:
+                if error.kind is not ErrorKind.NO_TOKEN:
+                    raise
+                raise identity.key_error() from error
+        route = identity.find_permitted_route(incoming.host, incoming.path)
         if route.kind is CallKind.JOB and incoming.method == "POST":
-            return "job_submit", self._submit_job(incoming, route, started)
-        call = self._build_call(incoming, route, started)
+            response = self._submit_job(incoming, identity, route, started)
+            return "job_submit", response
+        call = self._build_call(incoming, identity, route, started)
         if route.kind is CallKind.STREAM:
             return "stream", self._open_stream(call)
         return "call", self._forward(call)
 
-    def _read_results(self, job: str, incoming: _IncomingRequest) -> Response:
+    def _serve_job(
+        self, incoming: _IncomingRequest, requester: Requester
+    ) -> tuple[str, Response]:
+        if incoming.path.startswith(ITEMS_PATH):
+            job = incoming.path.removeprefix(ITEMS_PATH)
+            item = incoming.query.get("id", "")
+            body = self._jobs.item_body(job, item, requester)
+            content_type = "application/octet-stream"
+            return "job_item", Response(200, content_type, body)
+        job = incoming.path.removeprefix(JOBS_PATH)
+        if incoming.method == "DELETE":
+            self._jobs.end(job, requester)
+            return "job_end", Response(200, words.JSON_CONTENT_TYPE, b"{}")
+        return "job_results", self._read_results(job, incoming, requester)
+
+    def _read_results(
+        self, job: str, incoming: _IncomingRequest, requester: Requester
+    ) -> Response:
         after = _parse_integer(incoming.query.get("after", "0"), "after")
         wait_ms = _parse_integer(
             incoming.header(words.WAIT_MS_HEADER) or "0", words.WAIT_MS_HEADER
         )
         wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S)
-        results = self._jobs.results(job, after, wait_s)
+        results = self._jobs.results(job, after, wait_s, requester)
         body = batches.encode_results(results, after)
         return Response(200, words.JSON_CONTENT_TYPE, body)
 
     def _submit_job(
-        self, incoming: _IncomingRequest, route: ForwardRoute, started: float
+        self,
+        incoming: _IncomingRequest,
+        identity: CallerIdentity,
+        route: ForwardRoute,
+        started: float,
     ) -> Response:
         job = incoming.header(words.REQUEST_ID_HEADER)
         contents = batches.decode_job(
-            job, incoming.host, incoming.path, incoming.body
+            job, incoming.host, incoming.path, incoming.body, identity
         )
         self._check_rewards(contents)
         deadline = started + _timeout_s(incoming, route.timeout_s)
-        self._jobs.submit(contents, route, deadline)
+        self._jobs.submit(contents, route, deadline, identity.requester())
         return Response(ACCEPTED_STATUS, words.JSON_CONTENT_TYPE, b"{}")
 
     def _check_rewards(self, contents: JobContents) -> None:
@@ -189,14 +225,19 @@
                 ) from error
 
     def _build_call(
-        self, incoming: _IncomingRequest, route: ForwardRoute, started: float
+        self,
+        incoming: _IncomingRequest,
+        identity: CallerIdentity,
+        route: ForwardRoute,
+        started: float,
     ) -> ForwardedCall:
         proxied = ProxiedRequest(
             incoming.header(words.REQUEST_ID_HEADER),
             incoming.method,
             incoming.target,
-            incoming.headers,
+            identity.forwarded_headers(incoming.headers),
             incoming.body,
+            organisation=identity.organisation,
         )
         return ForwardedCall(
             proxied,
@@ -208,11 +249,15 @@
             fingerprint=crashes.fingerprint(
                 incoming.host,
                 incoming.path,
-                incoming.header("Authorization"),
+                identity.caller_name(
+                    incoming.header(words.AUTHORIZATION_HEADER)
+                ),
                 incoming.body,
             ),
             resumes=incoming.header(words.RESUMES_HEADER),
             resumed_after=_resumed_after(incoming),
+            organisation=identity.organisation,
+            priority=identity.priority(route),
         )
 
     def _forward(self, call: ForwardedCall) -> Response:
@@ -227,20 +272,29 @@
 class RelayInterface(ClientInterface):
     """Serves requests that other instances send on.
 
-    They do so while they reach no target. Jobs are handed over instead.
+    They do so while they reach no target. Jobs are handed over instead. Keys
+    are not checked again: this instance's configuration may be older.
     """
 
+    def _identify(self, incoming: _IncomingRequest) -> CallerIdentity:
+        is_current = self._routes_current()
+        organisation = incoming.header(words.ORGANISATION_HEADER)
+        return CallerIdentity.from_relay(
+            is_current, self._routes.table, organisation
+        )
+
     def _dispatch(
-        self, incoming: _IncomingRequest, started: float
+        self,
+        incoming: _IncomingRequest,
+        identity: CallerIdentity,
+        started: float,
     ) -> tuple[str, Response]:
         if not self._forwarder.reaches_targets:
             raise HibiscusError(
                 ErrorKind.NO_TARGET, "This instance reaches no target either."
             )
         relay = RelayHeaders.from_headers(incoming.headers)
-        route = self._routes.find(
-            incoming.host, incoming.path, self._routes_current()
-        )
+        route = identity.find_route(incoming.host, incoming.path)
         headers = {
             name: value
             for name, value in incoming.headers.items()
@@ -248,6 +302,7 @@
         }
         call = self._build_call(
             incoming._replace(headers=headers),
+            identity,
             route._replace(max_attempts=relay.max_attempts),
             started,
         )
@@ -322,60 +377,3 @@
             ErrorKind.BAD_FIELD, f"{name} must be a whole number."
         )
     return int(text)
-
-
-def _start_response(
-    response: Response, start_response: StartResponse
-) -> Iterable[bytes]:
-    headers = list(response.headers)
-    if response.content_type:
-        headers.append(("Content-Type", response.content_type))
-    body = response.body
-    if isinstance(body, bytes):
-        headers.append(("Content-Length", str(len(body))))
-        start_response(f"{response.status} Status", headers)
-        return [body]
-    start_response(f"{response.status} Status", headers)
-    return _log_interruption(body)
-
-
-def _log_interruption(parts: Iterable[bytes]) -> Iterator[bytes]:
-    """Yields the parts of a stream and logs its interruption.
-
-    The re-raised error closes the connection before the stream's end.
-    """
-    try:
-        yield from parts
-    except TargetError as error:
-        _log.info(
-            "Stream to the caller interrupted: the target failed.",
-            extra={"reason": str(error)},
-        )
-        raise
-
-
-def ready_app(ready: Callable[[], bool]) -> Any:
-    """Returns an application that serves readiness checks."""
-
-    def app(
-        environ: dict[str, Any], start_response: StartResponse
-    ) -> Sequence[bytes]:
-        status = "200 OK" if ready() else "503 Service Unavailable"
-        start_response(status, [("Content-Length", "0")])
-        return [b""]
-
-    return app
-
-
-def text_app(content_type: str, text: Callable[[], bytes]) -> Any:
-    """Returns an application that serves a text on every path."""
-
-    def app(
-        environ: dict[str, Any], start_response: StartResponse
-    ) -> Sequence[bytes]:
-        body = text()
-        length = ("Content-Length", str(len(body)))
-        start_response("200 OK", [("Content-Type", content_type), length])
-        return [body]
-
-    return app
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -27,6 +27,7 @@
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
 from hibiscuspin.platform import words
+from hibiscuspin.platform.identity import without_identity
 from hibiscuspin.settings import parse_address
 
 __all__ = [
@@ -117,6 +118,7 @@
         clock: Clock,
         on_draining: Callable[[], None] = lambda: None,
         on_limit: LimitListener = lambda rate_per_s, sent_at: None,
+        has_organisations: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the client.
 
@@ -127,11 +129,14 @@
                 is draining.
             on_limit: Called for each response with the request limit that it
                 names.
+            has_organisations: Returns whether the configuration in force has
+                organisations.
         """
         self._name = record.name
         self._clock = clock
         self._on_draining = on_draining
         self._on_limit = on_limit
+        self._has_organisations = has_organisations
         self._client = HttpClient(record.address, clock)
 
     def send(
@@ -200,7 +205,7 @@
                 words.URGENCY_HEADER: str(request.urgency),
             }
         headers = {
-            **request.headers,
+            **self._caller_headers(request),
             **extra_headers,
             **self._address_headers(request),
             words.REQUEST_ID_HEADER: request.request_id,
@@ -225,9 +230,22 @@
         self._check_limit(stream, sent_at, may_end=is_own_answer)
         return stream
 
+    def _caller_headers(self, request: ProxiedRequest) -> Mapping[str, str]:
+        """Returns the caller's headers that may leave this instance.
+
+        Items of jobs that were submitted before there were organisations
+        still have all of them.
+        """
+        if request.organisation or self._has_organisations():
+            return without_identity(request.headers)
+        return request.headers
+
     def _address_headers(self, request: ProxiedRequest) -> dict[str, str]:
-        """Returns the headers that name who is to serve a request."""
-        return {words.EXPECTED_TARGET_HEADER: self._name}
+        """Returns the headers that say who is to serve whose request."""
+        headers = {words.EXPECTED_TARGET_HEADER: self._name}
+        if request.organisation:
+            headers[words.TENANT_HEADER] = request.organisation
+        return headers
 
     def _check_draining(self, response: HttpStream | HttpResponse) -> None:
         # A misdirected response is about another target.
--- a/hibiscuspin/platform/operators.py
+++ b/hibiscuspin/platform/operators.py
@@ -14,6 +14,7 @@
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
 from hibiscuspin.platform import words
+from hibiscuspin.platform.organisations import decode_keys
 
 __all__ = [
     "CONFIG_KEY",
@@ -66,6 +67,7 @@
             for row in raw["services"]
             if row.get("engine")
         },
+        keys=decode_keys(raw),
     )
 
 
@@ -87,6 +89,8 @@
         single_version=bool(raw.get("single_version")),
         result_due_s=raw.get("due_ms", 0) / MS_PER_S,
         keep_s=float(raw.get("queue_ttl_s", 0)),
+        # Any other value than `true` must not open a route.
+        public=raw.get("public") is True,
     )
 
 
--- a/hibiscuspin/platform/peer_client.py
+++ b/hibiscuspin/platform/peer_client.py
@@ -1,6 +1,6 @@
 """Sends requests on through another instance, as its callers send them."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from hibiscuspin.clock import Clock
@@ -44,7 +44,12 @@
     ran.
     """
 
-    def __init__(self, member: LiveInstance, clock: Clock) -> None:
+    def __init__(
+        self,
+        member: LiveInstance,
+        clock: Clock,
+        has_organisations: Callable[[], bool] = lambda: False,
+    ) -> None:
         record = TargetRecord(
             name=member.name,
             born_ms=0,
@@ -55,7 +60,7 @@
             draining=False,
             version_by_model={},
         )
-        super().__init__(record, clock)
+        super().__init__(record, clock, has_organisations=has_organisations)
 
     def open_stream(
         self, request: ProxiedRequest, after: int, wait: WaitLimits
@@ -71,11 +76,20 @@
             request = request._replace(headers=headers)
         return super().open_stream(request, after, wait)
 
-    def _address_headers(self, request: ProxiedRequest) -> dict[str, str]:
-        terms = request.relay
-        if terms is None:
-            return {}
+    def _caller_headers(self, request: ProxiedRequest) -> Mapping[str, str]:
+        # The other instance trusts this header, so a caller must not set it.
         return {
-            words.MAX_ATTEMPTS_HEADER: str(terms.max_attempts),
-            words.AVOID_HEADER: ",".join(terms.avoid),
+            name: value
+            for name, value in super()._caller_headers(request).items()
+            if name.lower() != words.ORGANISATION_HEADER.lower()
         }
+
+    def _address_headers(self, request: ProxiedRequest) -> dict[str, str]:
+        headers = {}
+        if request.organisation:
+            headers[words.ORGANISATION_HEADER] = request.organisation
+        terms = request.relay
+        if terms is not None:
+            headers[words.MAX_ATTEMPTS_HEADER] = str(terms.max_attempts)
+            headers[words.AVOID_HEADER] = ",".join(terms.avoid)
+        return headers
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -11,7 +11,9 @@
     "JSON_CONTENT_TYPE",
     "BOOT_VARIABLE",
     "DEADLINE_MS_HEADER",
+    "AUTHORIZATION_HEADER",
     "EXPECTED_TARGET_HEADER",
+    "IDENTITY_HEADERS",
     "KIND_BY_ROUTE_TYPE",
     "LAST_EVENT_ID_HEADER",
     "LEAVING_HEADER",
@@ -19,10 +21,12 @@
     "LIMIT_HEADER",
     "MODEL_HEADER",
     "NOT_EXECUTED_HEADER",
+    "ORGANISATION_HEADER",
     "OUTPUT_TOKENS_HINT_HEADER",
     "REQUEST_ID_HEADER",
     "RESUMES_HEADER",
     "TARGET_STAMP_HEADER",
+    "TENANT_HEADER",
     "TOKEN_COUNTS_HEADER",
     "URGENCY_HEADER",
     "VERSION_HEADER",
@@ -81,10 +85,29 @@
 # How long a read may wait for results, in milliseconds.
 WAIT_MS_HEADER = "X-Wait-Ms"
 
+AUTHORIZATION_HEADER = "Authorization"
+# An organisation's name; set by this system, whatever a caller sends.
+TENANT_HEADER = "X-Tenant"
+
 # Between instances only.
+ORGANISATION_HEADER = "Hibiscuspin-Organisation"
 MAX_ATTEMPTS_HEADER = "Hibiscuspin-Max-Attempts"
 AVOID_HEADER = "Hibiscuspin-Avoid"
-RELAY_HEADERS = frozenset({MAX_ATTEMPTS_HEADER.lower(), AVOID_HEADER.lower()})
+RELAY_HEADERS = frozenset(
+    {
+        MAX_ATTEMPTS_HEADER.lower(),
+        AVOID_HEADER.lower(),
+        ORGANISATION_HEADER.lower(),
+    }
+)
+# Headers of callers that are not forwarded where there are organisations.
+IDENTITY_HEADERS = frozenset(
+    {
+        AUTHORIZATION_HEADER.lower(),
+        TENANT_HEADER.lower(),
+        ORGANISATION_HEADER.lower(),
+    }
+)
 
 KIND_BY_ROUTE_TYPE = {
     "idempotent": CallKind.REPEATABLE,
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -313,6 +313,7 @@
             extra={
                 "request_id": self._call.request.request_id,
                 "route": self._call.route.name,
+                "organisation": self._call.organisation,
                 "service": self._call.service,
                 "targets": self.targets,
                 "status": response.status,
@@ -579,6 +580,7 @@
             "Call rejected; no slot would be free in time.",
             extra={
                 "request_id": call.request.request_id,
+                "organisation": call.organisation,
                 "service": call.service,
                 "load": self._forwarder.load(call.service)._asdict(),
                 "retry_after_s": action.retry_after_s,
@@ -599,6 +601,7 @@
             "Call ended; no further attempt is possible.",
             extra={
                 "request_id": call.request.request_id,
+                "organisation": call.organisation,
                 "service": call.service,
                 "targets": self.targets,
                 "may_have_run": self._may_have_run,
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -9,7 +9,7 @@
 
 import zlib
 from collections.abc import Mapping, Sequence
-from typing import Any, NamedTuple, TypedDict, TypeVar
+from typing import Any, NamedTuple, NotRequired, TypedDict, TypeVar
 
 import msgspec
 
@@ -207,6 +207,8 @@
         submitted_at: Wall-clock time of its submission.
         ended: Whether its trainer has ended it.
         done: Whether all its results are published.
+        organisation: The organisation that submitted it; absent for none.
+        public: True if it was submitted on a public route, otherwise absent.
     """
 
     holder: str
@@ -216,6 +218,8 @@
     submitted_at: float
     ended: bool
     done: bool
+    organisation: NotRequired[str]
+    public: NotRequired[bool]
 
 
 class StoredHead(NamedTuple):
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -14,6 +14,12 @@
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import holders, recovery
+from hibiscuspin.decisions.organisations.job_access import (
+    UNCHECKED,
+    JobAccess,
+    Requester,
+    job_access,
+)
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import SampleEvent
@@ -148,25 +154,34 @@
         }
 
     def submit(
-        self, contents: JobContents, route: ForwardRoute, deadline: float
+        self,
+        contents: JobContents,
+        route: ForwardRoute,
+        deadline: float,
+        requester: Requester = UNCHECKED,
     ) -> None:
         """Persists a job and starts it; submitting it again does nothing.
 
         Raises:
             HibiscusError: `STOPPING` if the instance is stopping,
                 `STORE_UNAVAILABLE` if the job was certainly not accepted,
-                `OUTCOME_UNKNOWN` if it may have been accepted.
+                `OUTCOME_UNKNOWN` if it may have been accepted, `NOT_FOUND` or
+                `NO_TOKEN` if a job of this id exists that the requester may
+                not use.
         """
-        if contents.job in self._job_by_id:
+        local = self._job_by_id.get(contents.job)
+        if local is not None:
+            _check_access(contents.job, local.stored.head, requester)
             return
         accepted: bool | None = False
         for holder in self._holders_to_ask(contents.model):
-            accepted = self._request_acceptance(holder, contents)
+            accepted = self._request_acceptance(holder, contents, requester)
             if accepted:
                 return
             if accepted is None:
                 break
-        self._accept(contents, route, deadline, applied=accepted)
+        stored = self._accept(contents, route, deadline, applied=accepted)
+        _check_access(contents.job, stored.head, requester)
 
     def _holders_to_ask(self, model: str) -> list[LiveInstance]:
         """Returns the instances that should hold a job rather than this one."""
@@ -179,12 +194,16 @@
         return [holder] if holder != own else []
 
     def _request_acceptance(
-        self, holder: LiveInstance, contents: JobContents
+        self, holder: LiveInstance, contents: JobContents, requester: Requester
     ) -> bool | None:
         """Asks another instance to accept and hold a job.
 
         Returns:
             Whether it accepted the job; None if it may still accept it.
+
+        Raises:
+            HibiscusError: It has a job of this id that the requester may not
+                use.
         """
         try:
             body = self._peers.call(
@@ -201,6 +220,7 @@
         else:
             stored = msgspec.msgpack.decode(body, type=StoredHead)
             self._head_by_id[contents.job] = stored
+            _check_access(contents.job, stored.head, requester)
             return True
         _log.info(
             "Preferred holder did not accept a job.",
@@ -272,6 +292,10 @@
             "ended": False,
             "done": False,
         }
+        if contents.organisation:
+            head["organisation"] = contents.organisation
+        if route.public:
+            head["public"] = True
         stored = self._create(contents, head, deadline, applied, retry_refused)
         created_here = stored.head["submitted_at"] == head["submitted_at"]
         if created_here and self._is_held_here(stored.head):
@@ -282,6 +306,7 @@
             "Job accepted.",
             extra={
                 "job": contents.job,
+                "organisation": contents.organisation,
                 "model": contents.model,
                 "oldest_version": contents.oldest_version,
                 "required_groups": contents.required_groups,
@@ -337,17 +362,27 @@
             self._job_by_id[job.contents.job] = job
         self._control_threads.submit(job.run)
 
-    def results(self, job: str, after: int, wait_s: float) -> JobResults:
+    def results(
+        self,
+        job: str,
+        after: int,
+        wait_s: float,
+        requester: Requester = UNCHECKED,
+    ) -> JobResults:
         """Returns results from an index on; waits up to `wait_s` for the first.
 
         Raises:
-            HibiscusError: `NOT_FOUND` if there is no such job,
-                `STORE_UNAVAILABLE` if the store could not be read.
+            HibiscusError: `NOT_FOUND` if there is no such job for the
+                requester, `NO_TOKEN` if it needs a key, `STORE_UNAVAILABLE`
+                if the store could not be read.
         """
-        local = self._local_results(job, after, wait_s)
+        local = self._job_by_id.get(job)
         if local is not None:
-            return local
-        head = self._head(job).head
+            _check_access(job, local.stored.head, requester)
+            found = self._local_results(job, after, wait_s)
+            if found is not None:
+                return found
+        head = self._permitted_head(job, requester).head
         remote = self._remote_results(head, job, after, wait_s)
         if remote is not None:
             return remote
@@ -405,18 +440,20 @@
             raise _store_unavailable(error) from error
         return JobResults(stored.head["total"], _limit_size(rows[after:]))
 
-    def item_body(self, job: str, item: str) -> bytes:
+    def item_body(
+        self, job: str, item: str, requester: Requester = UNCHECKED
+    ) -> bytes:
         """Returns the request body of an item of a job that has not ended.
 
         Raises:
-            HibiscusError: `NOT_FOUND` if there is no such job or item or the
-                job has ended, `STORE_UNAVAILABLE` if the store could not be
-                read.
+            HibiscusError: `NOT_FOUND` if there is no such item or the job has
+                ended; otherwise as for `results`.
         """
         local = self._job_by_id.get(job)
         if local is not None and not local.stored.head["ended"]:
+            _check_access(job, local.stored.head, requester)
             return _body_of(local.contents, item)
-        head = self._head(job).head
+        head = self._permitted_head(job, requester).head
         if not head["ended"]:
             body = self._remote_body(head, job, item)
             if body is not None:
@@ -449,15 +486,18 @@
             )
             return None
 
-    def end(self, job: str) -> None:
+    def end(self, job: str, requester: Requester = UNCHECKED) -> None:
         """Ends a job; a repeated call does nothing.
 
         Raises:
             HibiscusError: As for `results`.
         """
         local = self._job_by_id.get(job)
-        if local is None:
-            member = self._remote_holder(self._head(job).head)
+        if local is not None:
+            _check_access(job, local.stored.head, requester)
+        else:
+            head = self._permitted_head(job, requester).head
+            member = self._remote_holder(head)
             if member is not None and self._request_end(member, job):
                 return
         self._mark_ended(job, local)
@@ -496,7 +536,13 @@
         if local is not None:
             local.stored = stored
         self._head_by_id[job] = stored
-        _log.info("Job ended.", extra={"job": job})
+        _log.info(
+            "Job ended.",
+            extra={
+                "job": job,
+                "organisation": stored.head.get("organisation", ""),
+            },
+        )
 
     def _replace_head(
         self, job: str, stored: StoredHead, head: JobHead, deadline: float
@@ -582,6 +628,7 @@
             "Job taken over.",
             extra={
                 "job": job,
+                "organisation": contents.organisation,
                 "from": previous_holder,
                 "listed": len(published),
                 "samples_begun": len(saved.events_by_name),
@@ -749,6 +796,18 @@
             local.stop()
         self._control_threads.shutdown()
 
+    def _permitted_head(self, job: str, requester: Requester) -> StoredHead:
+        """Returns the head of a job that the requester may use."""
+        try:
+            stored = self._head(job)
+        except HibiscusError as error:
+            # Without a key nobody learns which jobs exist.
+            if error.kind is ErrorKind.NOT_FOUND and requester.lacks_key:
+                raise _key_required() from error
+            raise
+        _check_access(job, stored.head, requester)
+        return stored
+
     def _head(self, job: str) -> StoredHead:
         """Returns a job's head, cached until its holder fails to respond.
 
@@ -828,6 +887,27 @@
         return msgspec.msgpack.encode(adopted)
 
 
+def _check_access(job: str, head: JobHead, requester: Requester) -> None:
+    """Checks that a requester may use a job.
+
+    Raises:
+        HibiscusError: `NO_TOKEN` if it needs a key; `NOT_FOUND` if the job
+            belongs to another organisation.
+    """
+    owner, is_public = head.get("organisation", ""), head.get("public", False)
+    access = job_access(requester, owner, is_public)
+    if access is JobAccess.KEY_REQUIRED:
+        raise _key_required()
+    if access is JobAccess.HIDDEN:
+        raise HibiscusError(ErrorKind.NOT_FOUND, f"Job {job} does not exist.")
+
+
+def _key_required() -> HibiscusError:
+    return HibiscusError(
+        ErrorKind.NO_TOKEN, "The job can't be used without a key."
+    )
+
+
 def _merge_samples(saved: SavedSamples, sent: SavedSamples) -> SavedSamples:
     """Returns the longer event list and the known score of each sample."""
     events_by_name = dict(saved.events_by_name)
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -289,6 +289,7 @@
             "Run of a sample ended.",
             extra={
                 "job": self.contents.job,
+                "organisation": self.contents.organisation,
                 "request_id": sample.item.name,
                 "group": sample.item.group,
                 "target": run.target.name,
--- a/hibiscuspin/tasks/prefix_watcher.py
+++ b/hibiscuspin/tasks/prefix_watcher.py
@@ -181,8 +181,10 @@
         deadline = self._clock.monotonic() + CALL_TIMEOUT_S
         scan = self._store.scan(self._prefix, deadline)
         with self._lock:
-            self._current.set()
+            # Callers refuse keys and paths for good while it is current, so
+            # the listener gets the values first.
             self._apply_scan(scan)
+            self._current.set()
         return scan.revision
 
     def _watch(self, revision: int) -> int:
@@ -191,8 +193,8 @@
             self._prefix, revision, WATCH_TIMEOUT_S, deadline
         )
         with self._lock:
-            self._current.set()
             self._apply_changes(watched)
+            self._current.set()
         return watched.revision
 
     def _apply_scan(self, scan: ScanResult) -> None:
--- a/hibiscuspin/tasks/route_table.py
+++ b/hibiscuspin/tasks/route_table.py
@@ -10,7 +10,7 @@
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.job_store import JobContents
 
-__all__ = ["Routes"]
+__all__ = ["Routes", "find_in_table"]
 
 _log = get_logger("config")
 
@@ -73,23 +73,7 @@
             HibiscusError: No route matches; the kind is `NOT_FOUND` only if the
                 table is current.
         """
-        table = self._table
-        if table is None:
-            raise HibiscusError(
-                ErrorKind.NOT_CONFIGURED,
-                "No configuration has been received yet.",
-            )
-        route = routes.find_route(table, host, path)
-        if route is not None:
-            return route
-        if not current:
-            raise HibiscusError(
-                ErrorKind.NOT_CONFIGURED,
-                "No route matches, but the configuration may be out of date.",
-            )
-        raise HibiscusError(
-            ErrorKind.NOT_FOUND, "No route matches the host and path."
-        )
+        return find_in_table(self._table, host, path, current)
 
     def pick_service(self, route: ForwardRoute) -> str:
         """Returns the service that serves a request of a route."""
@@ -123,3 +107,25 @@
             for route in host_routes
             if route.kind is CallKind.JOB
         )
+
+
+def find_in_table(
+    table: RouteTable | None, host: str, path: str, current: bool
+) -> ForwardRoute:
+    """Returns the route of a request in a table; see `Routes.find`."""
+    if table is None:
+        raise HibiscusError(
+            ErrorKind.NOT_CONFIGURED,
+            "No configuration has been received yet.",
+        )
+    route = routes.find_route(table, host, path)
+    if route is not None:
+        return route
+    if not current:
+        raise HibiscusError(
+            ErrorKind.NOT_CONFIGURED,
+            "No route matches, but the configuration may be out of date.",
+        )
+    raise HibiscusError(
+        ErrorKind.NOT_FOUND, "No route matches the host and path."
+    )
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -152,6 +152,7 @@
             "Stream not resumed.",
             extra={
                 "request_id": self._call.request.request_id,
+                "organisation": self._call.organisation,
                 "resumes": self._call.resumes,
                 "after": self._last_event_number or self._call.resumed_after,
                 "begun_by": self._begun_by,
@@ -349,6 +350,7 @@
             "Stream opened.",
             extra={
                 "request_id": self._call.request.request_id,
+                "organisation": self._call.organisation,
                 "service": self._call.service,
                 "target": target.name,
                 "software_version": target.record.software_version,
@@ -461,6 +463,7 @@
             "Stream resumed after a target failed.",
             extra={
                 "request_id": self._call.request.request_id,
+                "organisation": self._call.organisation,
                 "after": self._last_event_number,
                 "reason": str(error),
             },
