Try keys at instance processes, and trust no unreadable configuration

Cause: the check was tried with fakes only, and a configuration that could not be decoded left the older one in force but counted as current, so that keys and paths of the newer one were refused for good. While the newest configuration is unreadable, unknown keys and paths are answered with 503.

--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -125,6 +125,9 @@
             self._metrics,
         )
         self._routes = Routes(rng)
+        # Whether the newest configuration could not be decoded, so that an
+        # older one is in force.
+        self._is_config_malformed = False
         job_store = JobStore(self._store, self._clock)
         self._sample_executor = ThreadPoolExecutor(
             SAMPLE_THREADS, thread_name_prefix="sample"
@@ -327,7 +330,7 @@
         clients, relayed = (
             interface(
                 self._routes,
-                lambda: self._config_watcher.is_current,
+                self._is_config_current,
                 self._forwarder,
                 streams,
                 self._jobs,
@@ -445,8 +448,13 @@
         table = self._routes.table
         return table is not None and table.keys is not None
 
+    def _is_config_current(self) -> bool:
+        return self._config_watcher.is_current and not self._is_config_malformed
+
     def _on_config(self, values_by_key: Mapping[str, StoredValue]) -> None:
         table = operators.decode_table(values_by_key)
+        is_present = operators.CONFIG_KEY in values_by_key
+        self._is_config_malformed = is_present and table is None
         if table is not None and self._routes.activate(table):
             self._directory.request_share()
             limits = table.limits
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -10,6 +10,8 @@
 
 Each event names the target's software version in a comment line.
 
+The record of a call holds its values of `X-Tenant` and `Authorization`.
+
 A target that is draining says so in its entry and in all its responses.
 
 Faults under `extra`:
@@ -220,7 +222,13 @@
         if self._loading or self._running >= self._args.slots:
             return json_response({}, 503, (("X-Not-Executed", "1"),))
         after = int(request.headers.get("last-event-id", 0))
-        record = {"id": request.request_id, "after": after, "at": monotonic()}
+        record = {
+            "id": request.request_id,
+            "after": after,
+            "at": monotonic(),
+            "tenant": request.headers.get("x-tenant", ""),
+            "authorization": request.headers.get("authorization", ""),
+        }
         self._run_records.append(record)
         if path.endswith(CRASHING_SUFFIX):
             os._exit(CRASH_STATUS)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -60,6 +60,9 @@
         self._fleet = fleet
         self._folder = pathlib.Path(folder)
         self._config_version = 0
+        # The organisations of the configuration; None for a deployment
+        # without any.
+        self.tenants: Sequence[Mapping[str, Any]] | None = None
         self.instance_by_name: dict[str, PlatformInstance] = {}
         self._address_by_key: dict[str, Address] = {}
         self._proxied = proxied
@@ -210,10 +213,12 @@
         self._config_version += 3
         calls = {"calls": "app", **extra_routes}
         routes = [_call_route(name, service) for name, service in calls.items()]
+        tenants = {} if self.tenants is None else {"tenants": self.tenants}
         self.put_key(
             "op/config",
             {
                 "version": self._config_version,
+                **tenants,
                 "routes": [_JOB_ROUTE, _STREAM_ROUTE, *routes],
                 "services": [
                     {"name": "llm", "engine": {"stride": 1}},
