Order engines for the peak demand of recent steps

Steps of several trainers fill all engines at their start, and engines leave for good, so that steps end late with a fixed number of engines. The coordinator now plans the engines of each service that has limits, on demand and interruptible, and orders what is missing in each data centre, once a second at most. Holders tell the coordinator how many samples wait, in the load exchange; a coordinator of an earlier build gets loads without that number. Samples that cannot end on an engine before it is taken away go on elsewhere at once.

The task is only created with a client for the calls, and orders nothing for services without limits.

--- a/hibiscuspin/decisions/scaling/limits.py
+++ b/hibiscuspin/decisions/scaling/limits.py
@@ -1,9 +1,9 @@
 """What operators allow for the number of a service's engines."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-__all__ = ["ScalingLimits"]
+__all__ = ["ScalingLimits", "find_problem"]
 
 
 class ScalingLimits(NamedTuple):
@@ -24,3 +24,26 @@
     boot_s: float
     interruptible_price: float
     price_by_data_centre: Mapping[str, float]
+
+
+def find_problem(
+    limits: ScalingLimits, used: Collection[str], known: Collection[str]
+) -> str:
+    """Returns why a service can't be scaled; empty if it can.
+
+    Args:
+        limits: The limits of the service.
+        used: The data centres of its engines.
+        known: The data centres of the deployment.
+    """
+    if limits.minimum > limits.maximum:
+        return f"minimum {limits.minimum} is above maximum {limits.maximum}"
+    for data_centre in sorted(limits.price_by_data_centre):
+        if data_centre not in known:
+            return f"unknown data centre {data_centre!r}"
+    for data_centre in sorted(used):
+        if data_centre not in limits.price_by_data_centre:
+            return f"no price for data centre {data_centre!r}"
+    if not limits.price_by_data_centre:
+        return "no data centre has a price"
+    return ""
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -42,6 +42,9 @@
             serves.
         software_version: The version of the target's own software; empty if
             its registration names none.
+        interruptible: Whether the platform may take the target away at short
+            notice.
+        leaves_at: Monotonic time at which it is taken away; None if unknown.
     """
 
     name: str
@@ -53,6 +56,8 @@
     draining: bool
     version_by_model: Mapping[str, int]
     software_version: str = ""
+    interruptible: bool = False
+    leaves_at: float | None = None
 
 
 class RelayTerms(NamedTuple):
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -61,6 +61,25 @@
         )
         self.targets_reached.set(1)
 
+        self.engine_orders = Counter(
+            "hibiscuspin_engine_orders",
+            "Orders of engines by service and outcome.",
+            ("service", "outcome"),
+            registry=self._registry,
+        )
+        self.engines_wanted = Gauge(
+            "hibiscuspin_engines_wanted",
+            "Engines that the coordinator wants, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        self.engines_seen = Gauge(
+            "hibiscuspin_engines_seen",
+            "Listed engines that are not leaving, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+
         self.resumed_streams = Counter(
             "hibiscuspin_resumed_streams",
             "Streams that callers took up again, by error code or `resumed`.",
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -10,8 +10,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from hibiscuspin.clock import Clock, SystemClock
+from hibiscuspin.decisions import readers
 from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.decisions.scaling.limits import ScalingLimits
 from hibiscuspin.edges.discovery import LimitListener, TargetRecord
+from hibiscuspin.edges.duty_calls import DutyCalls
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
 from hibiscuspin.metrics import Metrics
@@ -47,6 +50,7 @@
 from hibiscuspin.tasks.relay_feed import RelayFeed
 from hibiscuspin.tasks.reward_calls import RewardCaller
 from hibiscuspin.tasks.route_table import Routes
+from hibiscuspin.tasks.scaling.engine_orders import EngineOrders
 from hibiscuspin.tasks.scoring import Scoring
 from hibiscuspin.tasks.store_path import RELAY_METHOD, StorePath
 from hibiscuspin.tasks.stream_exchange import StreamExchange
@@ -84,9 +88,15 @@
 class EdgeInstance:
     """Builds the components of one instance, and starts and stops them."""
 
-    def __init__(self, settings: PlatformSettings, path: pathlib.Path) -> None:
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        path: pathlib.Path,
+        duty_calls: DutyCalls | None = None,
+    ) -> None:
         self._settings = settings
         self._path = path
+        self._duty_calls = duty_calls
         self._clock: Clock = SystemClock()
         self._metrics = Metrics()
         self._stopping = threading.Event()
@@ -170,6 +180,7 @@
             self._instances,
             self._peers,
             self._clock,
+            self._scaling_by_service,
         )
         self._limit_shares = LimitShares(
             self._targets, self._instances, self._peers, self._clock
@@ -219,7 +230,7 @@
         )
         self._directory = TargetDirectory(
             engines.TARGET_PREFIX,
-            engines.decode_record,
+            lambda value: engines.decode_record(value, self._clock.monotonic()),
             self._store,
             self._targets,
             self._clock,
@@ -395,6 +406,8 @@
                 MONITORING_THREADS,
             ),
         ]
+        if self._duty_calls is not None:
+            tasks.append(self._create_engine_orders(self._duty_calls))
         if settings.relay_address is not None:
             tasks.append(
                 self._add_server(
@@ -422,6 +435,26 @@
             )
         return tasks
 
+    def _create_engine_orders(self, calls: DutyCalls) -> EngineOrders:
+        return EngineOrders(
+            self._instances,
+            self._targets,
+            calls,
+            self._routes,
+            self._scaling_by_service,
+            self._exchange.waiting,
+            lambda: readers.lost_age_s(self._settings.drain_s),
+            self._settings.region_by_data_centre,
+            self._clock,
+            self._metrics,
+        )
+
+    def _scaling_by_service(self) -> Mapping[str, ScalingLimits]:
+        duties = self._settings.duties
+        if duties is None or not duties.orders_engines:
+            return {}
+        return self._routes.scaling_by_service()
+
     def _add_server(
         self, name: str, app: object, address: Address, threads: int
     ) -> HttpServer:
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -44,6 +44,8 @@
 ACCEPTED_STATUS = 202
 OK_STATUS = 200
 MAX_LOGGED_CHARS = 40
+# A day; longer times are taken for invalid ones.
+MAX_LEAVES_MS = 86_400_000
 # Hop-by-hop headers and Content-Length, in lower case; they are not forwarded.
 NOT_FORWARDED_HEADERS = frozenset(
     {
@@ -65,16 +67,21 @@
 _log = get_logger("targets")
 
 
-def decode_record(value: StoredValue) -> TargetRecord | None:
-    """Decodes a target's registration; returns None if it is unusable."""
+def decode_record(value: StoredValue, now: float = 0.0) -> TargetRecord | None:
+    """Decodes a target's registration; returns None if it is unusable.
+
+    Args:
+        value: The entry.
+        now: The monotonic time at which it was read.
+    """
     try:
         raw = msgspec.json.decode(value.value)
-        return _parse_record(value.key.removeprefix(TARGET_PREFIX), raw)
+        return _parse_record(value.key.removeprefix(TARGET_PREFIX), raw, now)
     except words.DECODE_ERRORS:
         return None
 
 
-def _parse_record(name: str, raw: dict[str, Any]) -> TargetRecord:
+def _parse_record(name: str, raw: dict[str, Any], now: float) -> TargetRecord:
     if raw["state"] not in (READY_STATE, DRAINING_STATE):
         raise ValueError(f"state must be {READY_STATE!r} or {DRAINING_STATE!r}")
     slots = raw["slots"]
@@ -94,9 +101,21 @@
         draining=raw["state"] == DRAINING_STATE,
         version_by_model=_parse_versions(raw),
         software_version=_parse_software_version(raw),
+        interruptible=raw.get("spot") is True,
+        leaves_at=_parse_leaves_at(raw, now),
     )
 
 
+def _parse_leaves_at(raw: Mapping[str, Any], now: float) -> float | None:
+    """Returns when a target leaves; an invalid time counts as none."""
+    value = raw.get("leaves_ms")
+    if raw["state"] != DRAINING_STATE or isinstance(value, bool):
+        return None
+    if isinstance(value, int | float) and 0 <= value <= MAX_LEAVES_MS:
+        return now + value / MS_PER_S
+    return None
+
+
 def _parse_software_version(raw: Mapping[str, Any]) -> str:
     value = raw.get("version", "")
     if not isinstance(value, str):
--- a/hibiscuspin/platform/operators.py
+++ b/hibiscuspin/platform/operators.py
@@ -13,7 +13,7 @@
 )
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
-from hibiscuspin.platform import words
+from hibiscuspin.platform import scaling, words
 
 __all__ = [
     "CONFIG_KEY",
@@ -66,6 +66,7 @@
             for row in raw["services"]
             if row.get("engine")
         },
+        scaling_by_service=scaling.decode_limits(raw["services"]),
     )
 
 
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -186,6 +186,7 @@
         )
         self.list_received = False
         self.list_received_at = 0.0
+        self.reconnected_at = float("-inf")
 
     def replace(
         self, records: Iterable[TargetRecord], reconnected_at: float
@@ -203,6 +204,7 @@
         with self._lock:
             self.list_received = True
             self.list_received_at = now
+            self.reconnected_at = reconnected_at
             for name in list(self._targets_by_name):
                 if (
                     name in records_by_name
@@ -244,7 +246,7 @@
                     "Target has started draining.",
                     extra={"target": record.name},
                 )
-            known.record = record
+            known.record = _keep_departure(known.record, record)
             return
         if known is not None:
             known.gone = True
@@ -321,6 +323,12 @@
         with self._lock:
             return list(self._targets_by_name.values())
 
+    def event_s(self, target: DiscoveredTarget) -> float:
+        """Returns the expected seconds per event of a target's streams."""
+        now = self._clock.monotonic()
+        interval = target.event_interval
+        return ewma.estimate(interval, DEFAULT_EVENT_INTERVAL_S, now)
+
     def limits_of(self, service: str) -> dict[Incarnation, float]:
         """Returns the request limits of the targets that accept new work."""
         return {
@@ -694,3 +702,14 @@
             "Target removed: its address now belongs to another target.",
             extra={"target": target.name},
         )
+
+
+def _keep_departure(known: TargetRecord, record: TargetRecord) -> TargetRecord:
+    """Returns a record with the earlier time of departure of the two.
+
+    An entry that is read again names the time that was left when its target
+    wrote it.
+    """
+    if known.leaves_at is None or record.leaves_at is None:
+        return record
+    return record._replace(leaves_at=min(known.leaves_at, record.leaves_at))
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -18,6 +18,7 @@
 from hibiscuspin.decisions.placement import TargetView
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import NextAction, RunOutcome
+from hibiscuspin.decisions.scaling import departure
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.job_store import (
@@ -110,6 +111,7 @@
         self._stopped = threading.Event()
         self._released = False
         self._tokens_per_event = 1.0
+        self._service = ""
         self._inbox: queue.SimpleQueue[
             _RunResult | _ScoreResult | StoreCallResult | None
         ] = queue.SimpleQueue()
@@ -167,6 +169,15 @@
         """Whether all results are published."""
         return self._writer.done
 
+    @property
+    def service(self) -> str:
+        """The service that ran its samples last; empty before the first."""
+        return self._service
+
+    def waiting_samples(self) -> int:
+        """Returns how many samples wait for a slot of an engine."""
+        return sum(sample.needs_run for sample in self._samples)
+
     def results(
         self, after: int, wait_until: float
     ) -> tuple[list[ItemResult], bool]:
@@ -195,6 +206,7 @@
                     self._give_up_unfinished("its time limit has passed")
                 self._finish_complete_samples()
                 self._start_samples(now)
+                self._move_off_leaving(now)
                 self._move_stragglers(now)
                 self._writer.start_due_call(self._samples, now)
                 if self.done:
@@ -386,6 +398,7 @@
             self._give_up_unfinished("its route was removed")
             return
         self._route, service = route_and_service
+        self._service = service
         self._tokens_per_event = self._dependencies.tokens_per_event(service)
         targets = self._dependencies.targets
         views = targets.views(service, self.contents.model, deferrable=True)
@@ -489,6 +502,31 @@
         if run.sample.run is run:
             self._inbox.put(_RunResult(run, outcome))
 
+    def _move_off_leaving(self, now: float) -> None:
+        """Ends runs that can't end before their engine is taken away."""
+        for sample in self._samples:
+            run = sample.run
+            if run is None or run.move_requested.is_set():
+                continue
+            leaves_at = run.target.record.leaves_at
+            if leaves_at is None:
+                continue
+            events = self._remaining_events(sample)
+            event_s = self._dependencies.targets.event_s(run.target)
+            if departure.must_move(leaves_at, events, event_s, now):
+                run.move_requested.set()
+                _log.info(
+                    "Sample moved off an engine that is taken away.",
+                    extra={
+                        "job": self.contents.job,
+                        "request_id": sample.item.name,
+                        "target": run.target.name,
+                        "left_s": round(leaves_at - now, 2),
+                        "remaining_events": round(events, 1),
+                        "event_s": round(event_s, 4),
+                    },
+                )
+
     def _move_stragglers(self, now: float) -> None:
         if now - self._last_move_at < MOVE_PERIOD_S:
             return
--- a/hibiscuspin/tasks/route_table.py
+++ b/hibiscuspin/tasks/route_table.py
@@ -6,6 +6,7 @@
 
 from hibiscuspin.decisions import routes
 from hibiscuspin.decisions.routes import CallKind, ForwardRoute, RouteTable
+from hibiscuspin.decisions.scaling.limits import ScalingLimits
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.job_store import JobContents
@@ -123,3 +124,21 @@
             for route in host_routes
             if route.kind is CallKind.JOB
         )
+
+    def scaling_by_service(self) -> Mapping[str, ScalingLimits]:
+        """Returns the limits of the services whose engines are ordered."""
+        table = self._table
+        return table.scaling_by_service if table is not None else {}
+
+    def serves_only_jobs(self, service: str) -> bool:
+        """Returns whether a service gets requests from job routes alone."""
+        table = self._table
+        if table is None:
+            return False
+        kinds = {
+            route.kind
+            for host_routes in table.routes_by_host.values()
+            for route in host_routes
+            if service in route.weight_by_service
+        }
+        return kinds == {CallKind.JOB}
--- a/hibiscuspin/tasks/target_exchange.py
+++ b/hibiscuspin/tasks/target_exchange.py
@@ -7,7 +7,7 @@
 """
 
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -28,6 +28,10 @@
 from hibiscuspin.tasks.instances import Instances
 from hibiscuspin.tasks.job_store import trim_default
 from hibiscuspin.tasks.local_job import LocalJob
+from hibiscuspin.tasks.scaling.waiting_samples import (
+    WaitingSamples,
+    no_services,
+)
 from hibiscuspin.tasks.target_limits import Incarnation
 
 __all__ = ["TargetExchange"]
@@ -53,6 +57,9 @@
 EXCHANGE_PERIOD_S = 0.2
 # While the holders are unknown, all instances are asked every so many periods.
 ASK_ALL_PERIODS = 5
+# A coordinator that rejects the waiting samples, such as one of an earlier
+# build, gets loads without them for this long.
+REJECTION_BACKOFF_S = 3.0
 
 _log = get_logger("targets")
 
@@ -71,12 +78,24 @@
 class _InstanceLoad(NamedTuple):
     """The requests that one instance has in flight on each target.
 
-    A response also names the holders that the responding instance knows.
+    A response also names the holders that the responding instance knows. A
+    call to the coordinator also has the samples that wait.
     """
 
     instance: str
     in_flight_by_name: dict[str, int]
     holders: Sequence[str] = ()
+    waiting_by_service: Mapping[str, int] = {}
+
+    def encode(self) -> bytes:
+        """Returns the message without the last fields that have defaults.
+
+        Builds that do not know them can then decode it.
+        """
+        if self.waiting_by_service:
+            return msgspec.msgpack.encode(self)
+        row = trim_default(self)
+        return msgspec.msgpack.encode(row if self.holders else row[:-1])
 
 
 class _ReleaseCall(NamedTuple):
@@ -102,6 +121,7 @@
         instances: Instances,
         peers: PeerHttpClient,
         clock: Clock,
+        scaled_services: Callable[[], Collection[str]] = no_services,
     ) -> None:
         """Creates the task.
 
@@ -112,9 +132,12 @@
             instances: The other instances.
             peers: Makes the calls to them.
             clock: The time source.
+            scaled_services: Returns the services whose engines are ordered.
         """
         self._targets = targets
         self._open_jobs = open_jobs
+        self.waiting = WaitingSamples(open_jobs, scaled_services, clock)
+        self._rejected_until_by_name: dict[str, float] = {}
         self._instances = instances
         self._peers = peers
         self._clock = clock
@@ -306,12 +329,21 @@
         Returns:
             Whether the other instance has requests in flight.
         """
-        call = msgspec.msgpack.encode(trim_default(self._own_load()))
+        call = self._own_load()
+        now = self._clock.monotonic()
+        if (
+            member.name == self._instances.coordinator()
+            and now >= self._rejected_until_by_name.get(member.name, 0.0)
+        ):
+            call = call._replace(waiting_by_service=self.waiting.own())
         try:
             body = self._peers.call(
-                member.address, LOAD_METHOD, call, LOAD_CALL_TIMEOUT_S
+                member.address, LOAD_METHOD, call.encode(), LOAD_CALL_TIMEOUT_S
             )
         except (PeerUnreachableError, HibiscusError) as error:
+            if call.waiting_by_service and isinstance(error, HibiscusError):
+                until = now + REJECTION_BACKOFF_S
+                self._rejected_until_by_name[member.name] = until
             _log.debug(
                 "Loads could not be exchanged with a peer.",
                 extra={"reason": str(error)},
@@ -338,11 +370,12 @@
     def _serve_load(self, body: bytes) -> bytes:
         known = self._active_holders()
         load = self._record_peer_load(body)
+        self.waiting.record(load.instance, load.waiting_by_service)
         self._reported_at_by_name[load.instance] = self._clock.monotonic()
         if self._open_jobs():
             known.append(self._instances.member.name)
         response = self._own_load()._replace(holders=tuple(known))
-        return msgspec.msgpack.encode(trim_default(response))
+        return response.encode()
 
     def _serve_clear(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=_ClearCall)
