--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -112,6 +112,19 @@
       | its list is old                       | 0      |
       | the store was out until a moment ago  | 0      |
 
+  Scenario Outline: how the call of an order ends
+    Given an instance before 2 engines, which are to be 3 at least
+    When the platform answers an order with "<answer>"
+    Then the order counts as <outcome>, and is due again after <s> s
+
+    Examples:
+      | answer       | outcome     | s |
+      | accepted     | accepted    | 6 |
+      | 409          | unavailable | 8 |
+      | no response  | unknown     | 1 |
+      | 429          | not_sent    | 1 |
+      | 400          | rejected    | 8 |
+
   Scenario: the samples that wait reach the coordinator, also one of an earlier build
     Given a holder with 5 waiting samples and a coordinator
     When the holder exchanges its load
--- a/features/steps/scaling_tasks_steps.py
+++ b/features/steps/scaling_tasks_steps.py
@@ -15,7 +15,11 @@
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.scaling.limits import ScalingLimits
 from hibiscuspin.edges.discovery import TargetRecord
-from hibiscuspin.edges.duty_calls import EngineCountOrder, EngineCountOutcome
+from hibiscuspin.edges.duty_calls import (
+    DutyCallError,
+    EngineCountOrder,
+    EngineCountOutcome,
+)
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.platform import engines
@@ -29,6 +33,11 @@
 
 LIMITS = ScalingLimits(3, 8, 4.0, 0.2, {"dc": 1.0})
 WAITING = {"llm": 5}
+ERRORS = {
+    "no response": DutyCallError("timeout", applied=None),
+    "429": DutyCallError("429", applied=False),
+    "400": DutyCallError("400", applied=False, is_final=True),
+}
 CASES: dict[str, dict[str, Any]] = {
     "it has a term": {},
     "it has no term": {"term": None},
@@ -58,16 +67,20 @@
 
 
 class FakeDutyCalls:
-    """Accepts all orders."""
+    """Accepts all orders, or answers them all in the same way."""
 
     def __init__(self) -> None:
         self.orders: list[tuple[int, EngineCountOrder]] = []
+        self.error: DutyCallError | None = None
+        self.outcome = EngineCountOutcome.ACCEPTED
 
     def set_engine_count(
         self, holder: Any, order: EngineCountOrder, deadline: float
     ) -> EngineCountOutcome:
         self.orders.append((holder.fencing, order))
-        return EngineCountOutcome.ACCEPTED
+        if self.error is not None:
+            raise self.error
+        return self.outcome
 
 
 class WaitingJob:
@@ -100,6 +113,22 @@
     ]
 
 
+def engine_orders(context: Any, instances: Any) -> EngineOrders:
+    context.metrics = Metrics()
+    return EngineOrders(
+        instances,
+        context.targets,
+        context.calls,
+        Routes(random.Random(1)),
+        lambda: {"llm": LIMITS},
+        WaitingSamples(list, lambda: ["llm"], context.clock),
+        lambda: 3.0,
+        ["dc"],
+        context.clock,
+        context.metrics,
+    )
+
+
 @when("it has a term")
 @when("it has no term")
 @when("its term allows orders only later")
@@ -114,19 +143,7 @@
         "c", case["term"], may_begin=case.get("may_begin", True)
     )
     context.calls = FakeDutyCalls()
-    calls: Any = context.calls
-    task = EngineOrders(
-        instances,
-        context.targets,
-        calls,
-        Routes(random.Random(1)),
-        lambda: {"llm": LIMITS},
-        WaitingSamples(list, lambda: ["llm"], context.clock),
-        lambda: 3.0,
-        ["dc"],
-        context.clock,
-        Metrics(),
-    )
+    task = engine_orders(context, instances)
     task.look()
     task._executor.shutdown()
 
@@ -137,6 +154,32 @@
     assert context.calls.orders == expected, context.calls.orders
 
 
+@when('the platform answers an order with "{answer}"')
+def answer_order(context: Any, answer: str) -> None:
+    context.calls = FakeDutyCalls()
+    context.calls.error = ERRORS.get(answer)
+    if answer == "409":
+        context.calls.outcome = EngineCountOutcome.UNAVAILABLE
+    task = engine_orders(context, FakeInstances("c", Term(7, 1000.0)))
+    context.sent_at = []
+    for _ in range(10):
+        context.targets.replace(context.records, 0.0)
+        sent = len(context.calls.orders)
+        task.look()
+        assert wait_until(lambda: not task._calls_in_flight, 2.0)
+        if len(context.calls.orders) > sent:
+            context.sent_at.append(context.clock.now)
+        context.clock.sleep(1.0)
+    task._executor.shutdown()
+
+
+@then("the order counts as {outcome}, and is due again after {s:d} s")
+def check_due_again(context: Any, outcome: str, s: int) -> None:
+    assert context.sent_at[1] - context.sent_at[0] == s, context.sent_at
+    counted = context.metrics.engine_orders.labels("llm", outcome)
+    assert counted._value.get() == len(context.calls.orders)
+
+
 @given("a holder with {count:d} waiting samples and a coordinator")
 def set_holder(context: Any, count: int) -> None:
     context.clock = FakeClock()
--- a/hibiscuspin/decisions/scaling/plan.py
+++ b/hibiscuspin/decisions/scaling/plan.py
@@ -116,12 +116,17 @@
 
 
 def needed_engines(plan: EnginePlan) -> Need:
-    """Returns how many engines the peak demand needs."""
+    """Returns how many engines the peak demand needs.
+
+    Before an engine was listed its slots are unknown; the minimum is ordered
+    then.
+    """
+    if not plan.slots:
+        return Need(0, 0)
     samples = demand.peak(plan.history)
-    slots = max(1, plan.slots)
     return Need(
-        demand.engines_needed(samples, slots),
-        demand.engines_to_survive(samples, slots),
+        demand.engines_needed(samples, plan.slots),
+        demand.engines_to_survive(samples, plan.slots),
     )
 
 
@@ -150,8 +155,7 @@
         history=demand.observe(plan.history, samples, now),
     )
     plan = _follow_listing(plan, limits, listing, now)
-    if plan.slots:
-        plan = _add_missing(plan, limits, listing, now)
+    plan = _add_missing(plan, limits, listing, now)
     return _release_surplus(plan, limits, now, may_release)
 
 
