--- a/hibiscuspin/platform/operators.py
+++ b/hibiscuspin/platform/operators.py
@@ -13,7 +13,7 @@
 )
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
-from hibiscuspin.platform import words
+from hibiscuspin.platform import scaling, words
 from hibiscuspin.platform.organisations import decode_keys
 
 __all__ = [
@@ -68,6 +68,7 @@
             if row.get("engine")
         },
         keys=decode_keys(raw),
+        scaling_by_service=scaling.decode_limits(raw["services"]),
     )
 
 
