--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -15,6 +15,8 @@
 no json about r1
 {"asctime": "2026-01-01 00:00:04", "message": "other", "request_id": "r11"}
 {broken r1
+{"asctime": "2026-01-01 00:00:08", "message": "refused", \
+"request_id": "r8", "organisation": "hule930"}
 """
 SECOND_LOG = """\
 {"asctime": "2026-01-01 00:00:03", "message": "third", "job": "r1"}
@@ -62,3 +64,8 @@
 def check_error(context: Any, text: str) -> None:
     assert context.trace_error is not None
     assert repr(text) in str(context.trace_error), context.trace_error
+
+
+@then('"{text}" is shown')
+def check_shown(context: Any, text: str) -> None:
+    assert text in context.trace_result.text, context.trace_result.text
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -20,6 +20,17 @@
       | i7 |
       | c7 |
 
+  Scenario Outline: the requests of an organisation are found, and it is shown
+    Given log files of two instances
+    When an operator traces "<id>"
+    Then lines "refused" are shown in this order
+    And "organisation=hule930" is shown
+
+    Examples:
+      | id      |
+      | r8      |
+      | hule930 |
+
   Scenario: an id that only begins another is not found
     Given log files of two instances
     When an operator traces "r"
--- a/hibiscuspin/guides/errors.py
+++ b/hibiscuspin/guides/errors.py
@@ -66,9 +66,10 @@
         "Many of these errors indicate a poor network or a slow-sender attack.",
     ),
     ErrorKind.NO_TOKEN: Guide(
-        "The request has no bearer token.",
+        "The request has no bearer token, or one that is not valid.",
         "Send `Authorization: Bearer TOKEN`.",
-        _NO_ACTION,
+        'For the keys of organisations, see "A refused key" in '
+        "docs/operations/platform.md.",
     ),
     ErrorKind.FORBIDDEN: Guide(
         "The token is not that of a team or, where required, of the operators.",
@@ -189,7 +190,8 @@
         "Run `hibiscuspin doctor`; notify the operators of the store.",
     ),
     ErrorKind.NOT_CONFIGURED: Guide(
-        "The instance has no configuration and therefore serves no requests.",
+        "The instance has no configuration, or its configuration may be out "
+        "of date and does not have the request's path or key.",
         _RETRY_LATER,
         "Run `hibiscuspin doctor`; apply a configuration if there is none.",
     ),
