Hold that a configuration is current only once it is in force

Cause: the order of the watcher's last change had no test, and reward calls had the default priority instead of their route's. Change: a scenario in which a watcher reads a new key after an outage; reward calls carry the priority of their route.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -109,6 +109,13 @@
     Then it is answered with 200 ""
     And the target got the caller's own headers
 
+  # Guards against a new key that the older table refuses for good, in the time
+  # between the read of a configuration and its coming into force.
+  Scenario: a configuration counts as current only once it is in force
+    Given instances with the keys "k1" of "x" and "k2" of "y"
+    When a watcher reads a configuration with the key "k3" after an outage
+    Then it counted as possibly out of date until that key was in force
+
   Scenario: a key is removed while its connection stays open
     Given instances with the keys "k1" of "x" and "k2" of "y"
     When a call with the header "Bearer k1" is sent on a private route
--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -4,7 +4,9 @@
 import io
 import json
 import logging
+import random
 import urllib.parse
+from collections.abc import Mapping
 from typing import Any
 from unittest import mock
 
@@ -20,6 +22,11 @@
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import ProxiedRequest, TargetRecord
 from hibiscuspin.edges.http import HttpClient
+from hibiscuspin.edges.transactions import (
+    PutOperation,
+    StoredValue,
+    Transaction,
+)
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.organisation_counts import OrganisationCounts
 from hibiscuspin.platform import operators
@@ -28,6 +35,7 @@
 from hibiscuspin.platform.identity import CallerIdentity
 from hibiscuspin.platform.peer_client import PeerClient
 from hibiscuspin.settings import Address
+from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
 
 KIND_OF_ROUTE = {"call": "idempotent", "stream": "streaming", "job": "batch"}
 # The request that callers forge: the key must go, whatever its spelling.
@@ -209,6 +217,36 @@
     assert context.memory.routes.activate(table)
 
 
+@when('a watcher reads a configuration with the key "{key}" after an outage')
+def watch_configuration(context: Any, key: str) -> None:
+    store, routes = context.memory.store, context.memory.routes
+    was_current: list[bool] = []
+
+    def on_config(values: Mapping[str, StoredValue]) -> None:
+        routes.activate(operators.decode_table(values))
+        was_current.append(watcher.is_current)
+
+    watcher = PrefixWatcher(
+        operators.CONFIG_KEY,
+        store,
+        context.memory.clock,
+        random.Random(1),
+        on_config,
+    )
+    content = msgspec.json.encode(document(context, {key: "x"}))
+    put = PutOperation(operators.CONFIG_KEY, content)
+    store.commit(Transaction({}, (put,)), 0.0)
+    watcher._scan()
+    context.was_current = was_current
+    context.watcher = watcher
+
+
+@then("it counted as possibly out of date until that key was in force")
+def check_was_current(context: Any) -> None:
+    assert context.was_current == [False], context.was_current
+    assert context.watcher.is_current
+
+
 def send(
     context: Any,
     app: Any,
--- a/hibiscuspin/tasks/reward_calls.py
+++ b/hibiscuspin/tasks/reward_calls.py
@@ -134,4 +134,5 @@
             min(deadline, now + route.timeout_s),
             self._cancelled,
             deferrable=True,
+            priority=route.priority,
         )
