--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -10,6 +10,7 @@
 import re
 import select
 import socket
+import struct
 import threading
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
@@ -48,7 +49,10 @@
 PROBE_IDLE_S = 1
 PROBE_PERIOD_S = 1
 PROBE_COUNT = 2
+MS_PER_S = 1000
 _CHUNK_END = b"\r\n"
+# `struct linger`: enabled, with a time of 0.
+_LINGER_NONE = struct.pack("ii", 1, 0)
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -212,8 +216,20 @@
         clock: Clock | None = None,
         *,
         keepalive: bool = False,
+        unacknowledged_s: float | None = None,
     ) -> None:
+        """Creates the client; it connects with the first call.
+
+        Args:
+            address: The address.
+            clock: The time source.
+            keepalive: Whether to detect an unreachable peer by probes.
+            unacknowledged_s: After this time, and on a close, bytes that the
+                peer has not acknowledged are dropped and never sent again;
+                None for the system's rule, which sends them for minutes.
+        """
         self._address = address
+        self._unacknowledged_s = unacknowledged_s
         self._clock = clock or SystemClock()
         self._keepalive = keepalive
         self._lock = threading.Lock()
@@ -230,17 +246,25 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         check: Callable[[], None] | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> HttpResponse:
         """Sends one request and reads the complete response.
 
         `check` is called while waiting, and may raise an exception to end the
-        wait.
+        wait. `before_send` is called when a connection is established, and may
+        raise an exception to send nothing.
 
         Raises:
             TargetError: No complete response arrived by the deadline.
         """
         stream = self.open(
-            method, path, deadline, body=body, headers=headers, check=check
+            method,
+            path,
+            deadline,
+            body=body,
+            headers=headers,
+            check=check,
+            before_send=before_send,
         )
         wait = WaitLimits(deadline, deadline, check) if check else None
         try:
@@ -260,6 +284,7 @@
         stall_s: float | None = None,
         check: Callable[[], None] | None = None,
         fresh: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> HttpStream:
         """Sends one request and returns once the response headers arrived.
 
@@ -274,6 +299,8 @@
             check: Called while waiting; may raise an exception to end the
                 wait.
             fresh: Whether to use a new connection.
+            before_send: Called when a connection is established; may raise an
+                exception to send nothing.
 
         Raises:
             TargetError: The request failed; `sent` is False only if no
@@ -290,6 +317,8 @@
             self.set_timeout(connection, stall_s=limit_s, deadline=deadline)
             if connection.raw.sock is None:
                 self._connect(connection, min(limit_s, CONNECT_TIMEOUT_S))
+            if before_send is not None:
+                before_send()
             sent = True
             connection.raw.request(method, path, body, dict(headers or {}))
             raw: Any = connection.raw
@@ -324,6 +353,8 @@
             raw.sock.settimeout(previous_s)
             if self._keepalive:
                 _enable_keepalive(raw.sock)
+            if self._unacknowledged_s is not None:
+                _drop_unacknowledged(raw.sock, self._unacknowledged_s)
 
     def monotonic(self) -> float:
         """Returns the time by which deadlines are given."""
@@ -528,3 +559,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+
+
+def _drop_unacknowledged(sock: socket.socket, after_s: float) -> None:
+    """Has the kernel drop unacknowledged bytes after a time and on a close."""
+    after_ms = int(after_s * MS_PER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, after_ms)
+    # A close then resets the connection.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -68,6 +68,13 @@
             registry=self._registry,
         )
 
+        self.duty_calls = Counter(
+            "hibiscuspin_duty_calls",
+            "Calls that only the coordinator makes, by call and outcome.",
+            ("call", "outcome"),
+            registry=self._registry,
+        )
+
     def observe(self, path: str, seconds: float) -> None:
         """Records the latency of one request to a path."""
         with self._lock:
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -12,6 +12,8 @@
     "BOOT_VARIABLE",
     "DEADLINE_MS_HEADER",
     "EXPECTED_TARGET_HEADER",
+    "FENCING_HEADER",
+    "HOLDER_HEADER",
     "KIND_BY_ROUTE_TYPE",
     "LAST_EVENT_ID_HEADER",
     "LEAVING_HEADER",
@@ -81,6 +83,11 @@
 # How long a read may wait for results, in milliseconds.
 WAIT_MS_HEADER = "X-Wait-Ms"
 
+# The fencing number of the coordinator's term; an integer.
+FENCING_HEADER = "X-Fence-Token"
+# The name of the instance that has the duty.
+HOLDER_HEADER = "X-Lease-Holder"
+
 # Between instances only.
 MAX_ATTEMPTS_HEADER = "Hibiscuspin-Max-Attempts"
 AVOID_HEADER = "Hibiscuspin-Avoid"
