Count organisations' requests and report them once per window

The platform wants the requests of each organisation that targets began to run in each window of 5 s, exact to 5 %, from one holder whose reports never contradict each other. Instances record each request at its first run, send it to the coordinator and its likely successor, and the coordinator records the counts of a window in the store before it sends them. True time is voted on at start and does not follow steps of the wall clock. A new holder asks all others for their records and repeats what stands. All of it is off unless the settings name the duty.

--- a/hibiscuspin/logs.py
+++ b/hibiscuspin/logs.py
@@ -31,6 +31,7 @@
     "spend": "SPEND",
     "store": "STORE",
     "targets": "TARGET",
+    "usage": "USAGE",
     "weights": "WEIGHTS",
 }
 
--- a/hibiscuspin/metrics.py
+++ b/hibiscuspin/metrics.py
@@ -75,6 +75,18 @@
             registry=self._registry,
         )
 
+        self.usage_last_window = Gauge(
+            "hibiscuspin_usage_last_window",
+            "The last window whose usage report of this instance was accepted.",
+            registry=self._registry,
+        )
+
+        self.usage_late_requests = Counter(
+            "hibiscuspin_usage_late_requests",
+            "Requests that became known after their window was reported.",
+            registry=self._registry,
+        )
+
     def observe(self, path: str, seconds: float) -> None:
         """Records the latency of one request to a path."""
         with self._lock:
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -11,7 +11,9 @@
 
 from hibiscuspin.clock import Clock, SystemClock
 from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.decisions.usage.windows import WindowTimes
 from hibiscuspin.edges.discovery import LimitListener, TargetRecord
+from hibiscuspin.edges.duty_calls import DutyHolder
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
 from hibiscuspin.metrics import Metrics
@@ -23,6 +25,7 @@
     ready_app,
     text_app,
 )
+from hibiscuspin.platform.duty_calls import PlatformDutyCalls
 from hibiscuspin.platform.peer_client import PeerClient
 from hibiscuspin.platform.settings import PlatformSettings, read_settings_file
 from hibiscuspin.platform.store import KeyValueStore
@@ -55,6 +58,10 @@
 from hibiscuspin.tasks.supervisor import Supervisor, Task
 from hibiscuspin.tasks.target_exchange import TargetExchange
 from hibiscuspin.tasks.target_reach import ReachProbes
+from hibiscuspin.tasks.usage.exchange import UsageExchange
+from hibiscuspin.tasks.usage.recorder import NO_USAGE, UsageRecorder
+from hibiscuspin.tasks.usage.reporter import UsageReporter
+from hibiscuspin.tasks.usage.true_clock import TrueClock
 from hibiscuspin.tasks.weight_orders import WeightOrders
 
 __all__ = ["EdgeInstance"]
@@ -142,8 +149,9 @@
             settings.region_by_data_centre,
             self._clock,
         )
+        self._usage_exchange = self._create_usage_exchange()
         self._forwarder = Forwarder(
-            self._targets, self._clock, self._peer_targets
+            self._targets, self._clock, self._peer_targets, self._usage
         )
         rewards = RewardCaller(self._routes, self._forwarder, self._clock)
         self._scoring = Scoring(
@@ -325,6 +333,7 @@
             self._clock,
             self._metrics,
             self._peer_targets,
+            self._usage,
         )
         clients, relayed = (
             interface(
@@ -348,6 +357,8 @@
             RELAY_COPIES_METHOD: self._directory.serve_copies,
             OUTAGE_METHOD: self._directory.serve_outage,
         }
+        if self._usage_exchange is not None:
+            handlers.update(self._usage_exchange.handlers())
         tasks: list[Task] = [
             self._add_server(
                 "peer",
@@ -395,6 +406,7 @@
                 MONITORING_THREADS,
             ),
         ]
+        tasks += self._create_usage_tasks(rng)
         if settings.relay_address is not None:
             tasks.append(
                 self._add_server(
@@ -422,6 +434,53 @@
             )
         return tasks
 
+    @property
+    def _usage(self) -> UsageRecorder:
+        exchange = self._usage_exchange
+        return exchange.records if exchange is not None else NO_USAGE
+
+    def _create_usage_exchange(self) -> UsageExchange | None:
+        duties = self._settings.duties
+        if duties is None or not duties.reports_usage:
+            return None
+        return UsageExchange(
+            TrueClock(self._clock),
+            duties.window_s,
+            self._instances,
+            self._peers,
+            self._clock,
+            self._metrics,
+        )
+
+    def _create_usage_tasks(self, rng: random.Random) -> list[Task]:
+        duties = self._settings.duties
+        exchange = self._usage_exchange
+        if duties is None or exchange is None:
+            return []
+        reporter = UsageReporter(
+            self._instances,
+            exchange,
+            exchange.true_clock,
+            WindowTimes(duties.window_s, duties.report_due_s),
+            PlatformDutyCalls(
+                duties.address, self._clock, self._metrics, self._may_call
+            ),
+            self._store,
+            self._clock,
+            rng,
+            self._metrics,
+        )
+        return [exchange, reporter]
+
+    def _may_call(self, holder: DutyHolder) -> bool:
+        """Returns whether the term of a duty's holder has not ended."""
+        term = self._instances.term()
+        return (
+            term is not None
+            and term.fencing == holder.fencing
+            and self._instances.begin_order(term)
+        )
+
     def _add_server(
         self, name: str, app: object, address: Address, threads: int
     ) -> HttpServer:
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -423,6 +423,10 @@
         values = sorted(mean.value for mean in means if mean is not None)
         return values[(len(values) - 1) // 2] if values else default
 
+    def round_trip_s(self, target: DiscoveredTarget) -> float:
+        """Returns the round-trip time of the link to a target."""
+        return self._link_s(target.record.data_centre)
+
     def _link_s(self, data_centre: str) -> float:
         if data_centre == self._data_centre:
             return SAME_DATA_CENTRE_LINK_S
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -34,6 +34,8 @@
 )
 from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.target_limits import Purpose, Send
+from hibiscuspin.tasks.usage.recorder import NO_USAGE, UsageRecorder
+from hibiscuspin.tasks.usage.runs import RunTracker
 
 __all__ = [
     "AttemptAbandonedError",
@@ -96,6 +98,15 @@
         """Whether it takes up a stream whose first events its caller has."""
         return bool(self.resumes or self.resumed_after)
 
+    @property
+    def counted_for(self) -> str:
+        """The organisation whose usage it is; empty for none.
+
+        What another instance sends is counted there.
+        """
+        is_counted = not (self.deferrable or self.is_relayed)
+        return self.organisation if is_counted else ""
+
 
 class CallResult(NamedTuple):
     """The result of a call that a target responded to.
@@ -128,6 +139,7 @@
         targets: DiscoveredTargets,
         clock: Clock,
         peers: PeerTargets | None = None,
+        usage: UsageRecorder = NO_USAGE,
     ) -> None:
         """Creates the forwarder.
 
@@ -136,7 +148,9 @@
             clock: The time source.
             peers: The instances through which requests go while this one
                 reaches no target; None for none.
+            usage: Records requests when targets begin to run them.
         """
+        self._runs = RunTracker(usage, clock)
         self._targets = targets
         self._peers = peers
         self._clock = clock
@@ -264,6 +278,9 @@
         self._sent_at_by_target: dict[str, float] = {}
         self.targets: list[str] = []
         self.server_errors = 0
+        self._runs = forwarder._runs.track(
+            call.request.request_id, call.counted_for
+        )
         self._hedge_at = self._deadline
         self._last_response: ProxiedResponse | None = None
         self._last_error: TargetError | None = None
@@ -303,6 +320,7 @@
                     return response
         finally:
             self._finished.set()
+            self._runs.finish()
             if waiting:
                 self._forwarder._adjust_waiting_count(service, -1)
 
@@ -483,6 +501,7 @@
         response = None
         error = None
         check_again = False
+        run = self._runs.sent(target.name, self._targets.round_trip_s(target))
         try:
             target.check_accepts_work()
             with self._crashes.track(self._call.fingerprint, target.name):
@@ -492,8 +511,10 @@
                     self._check_finished,
                     fresh=not self._repeatable,
                 )
+            self._runs.answered(run)
         except TargetError as failure:
             error = failure
+            self._runs.failed(run, failure)
             check_again = self._record_if_crashed(target, failure, started)
         except AttemptAbandonedError:
             error = TargetError("attempt abandoned", sent=True)
@@ -536,6 +557,7 @@
     def _await_result(self, until: float) -> ProxiedResponse | None:
         """Waits for a result; returns a response that completes the call."""
         remaining_s = until - self._clock.monotonic()
+        self._runs.check()
         try:
             result = self._results.get(timeout=max(0.0, min(remaining_s, 0.1)))
         except queue.Empty:
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -31,6 +31,8 @@
 from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.target_limits import Purpose, Send
+from hibiscuspin.tasks.usage.recorder import NO_USAGE, UsageRecorder
+from hibiscuspin.tasks.usage.runs import RunTracker
 
 __all__ = ["StreamForwarder"]
 
@@ -59,7 +61,9 @@
         clock: Clock,
         metrics: Metrics | None = None,
         peers: PeerTargets | None = None,
+        usage: UsageRecorder = NO_USAGE,
     ) -> None:
+        self._runs = RunTracker(usage, clock, streams=True)
         self._peers = peers
         self._targets = targets
         self._origins = origins
@@ -79,7 +83,12 @@
                 or the caller has disconnected.
         """
         stream = _ForwardedStream(
-            self._targets, self._origins, self._clock, call, self._peers
+            self._targets,
+            self._origins,
+            self._clock,
+            call,
+            self._peers,
+            self._runs,
         )
         try:
             stream.bind_to_origin()
@@ -92,6 +101,8 @@
             if call.is_resumption:
                 self._metrics.resumed_streams.labels(str(error.kind)).inc()
             raise
+        finally:
+            stream.runs.finish()
         if call.is_resumption:
             self._metrics.resumed_streams.labels("resumed").inc()
         return headers, stream.event_batches()
@@ -105,7 +116,10 @@
         clock: Clock,
         call: ForwardedCall,
         peers: PeerTargets | None,
+        runs: RunTracker,
     ) -> None:
+        self.runs = runs.track(call.request.request_id, call.counted_for)
+        self._run = 0
         self._peers = peers
         self._targets = targets
         self._origins = origins
@@ -178,6 +192,7 @@
             headers = self.start()
             try:
                 self._first_events = self._read()
+                self.runs.answered(self._run)
             except TargetError as error:
                 self._end_attempt(error)
                 if not self._call.route.resumable:
@@ -335,6 +350,9 @@
     def _open(self, target: DiscoveredTarget) -> Sequence[tuple[str, str]]:
         self._may_have_run += 1
         self._sent_at = self._answered_at = self._clock.monotonic()
+        self._run = self.runs.sent(
+            target.name, self._targets.round_trip_s(target)
+        )
         try:
             events = target.client.open_stream(
                 self._request_for(target),
@@ -366,12 +384,14 @@
         return WaitLimits(deadline, stall_s, self._check_caller_connected)
 
     def _check_caller_connected(self) -> None:
+        self.runs.check()
         if self._call.disconnected():
             raise _CallerDisconnectedError
 
     def _record_failure(
         self, target: DiscoveredTarget, error: TargetError
     ) -> None:
+        self.runs.failed(self._run, error)
         if error.refused or not error.sent:
             self._may_have_run -= 1
         request_id = self._call.request.request_id
