--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -14,6 +14,8 @@
     "AUTHORIZATION_HEADER",
     "EXPECTED_TARGET_HEADER",
     "IDENTITY_HEADERS",
+    "FENCING_HEADER",
+    "HOLDER_HEADER",
     "KIND_BY_ROUTE_TYPE",
     "LAST_EVENT_ID_HEADER",
     "LEAVING_HEADER",
@@ -88,6 +90,10 @@
 AUTHORIZATION_HEADER = "Authorization"
 # An organisation's name; set by this system, whatever a caller sends.
 TENANT_HEADER = "X-Tenant"
+# The fencing number of the coordinator's term; an integer.
+FENCING_HEADER = "X-Fence-Token"
+# The name of the instance that has the duty.
+HOLDER_HEADER = "X-Lease-Holder"
 
 # Between instances only.
 ORGANISATION_HEADER = "Hibiscuspin-Organisation"
