--- a/features/scaling.feature
+++ b/features/scaling.feature
@@ -15,6 +15,20 @@
     And the first lowered number was on-demand in a
     And 6 engines are left, at least 2 in each data centre
 
+  Scenario: the peak counts for 12 s
+    Given 2 on-demand engines in a, 2 in b and 2 in c, at most 16 in each
+    When steps of 220 samples at the peak and 60 in the trough run for 2 s
+    And the steps become 10 samples at the peak and 5 in the trough for 3 s
+    Then 33 engines are needed
+    When the steps become 10 samples at the peak and 5 in the trough for 12 s
+    Then 2 engines are needed
+
+  Scenario: two orders for a data centre are a second apart, and within the maximum
+    Given 2 on-demand engines in a, 2 in b and 2 in c, at most 9 in each
+    And 5 interruptible engines of a that are not wanted any more
+    When 8 on-demand engines of a become wanted
+    Then 4 are ordered, and no others before 1 s has passed
+
   Scenario: releases stop while the demand of a service is not all known
     Given 8 on-demand engines in a, 8 in b and 7 in c, at most 16 in each
     And the service also gets calls
@@ -60,7 +74,7 @@
 
   Scenario: the next coordinator replaces engines that were lost under the last one
     Given 8 on-demand engines in a, 8 in b and 7 in c, at most 16 in each
-    When steps of 150 samples at the peak and 10 in the trough run for 20 s
+    When steps of 40 samples at the peak and 10 in the trough run for 15 s
     And 3 on-demand engines of b are lost for good
     And another instance takes over 3 s later
     And the steps go on for 10 s
--- a/features/steps/scaling_steps.py
+++ b/features/steps/scaling_steps.py
@@ -20,6 +20,7 @@
 from hibiscuspin.decisions.scaling.plan import (
     EnginePlan,
     begin_plan,
+    needed_engines,
     next_plan,
 )
 from hibiscuspin.platform import scaling
@@ -353,3 +354,43 @@
     found = departure.must_move(100.0 + left, events, 0.05, 100.0)
     assert found == (moves == "moves")
     assert not departure.must_move(None, events, 0.05, 100.0)
+
+
+@when(
+    "the steps become {peak:d} samples at the peak and {trough:d} in the "
+    "trough for {s:d} s"
+)
+def change_steps(context: Any, peak: int, trough: int, s: int) -> None:
+    run_steps(context, peak, trough, s)
+
+
+@then("{count:d} engines are needed")
+def check_needed(context: Any, count: int) -> None:
+    need = needed_engines(context.fleet.plan)
+    assert need.engines == count, need
+
+
+@given("{count:d} interruptible engines of a that are not wanted any more")
+def add_unwanted(context: Any, count: int) -> None:
+    context.fleet.present[EngineGroup("a", True)] = count
+
+
+@when("{count:d} on-demand engines of a become wanted")
+def want(context: Any, count: int) -> None:
+    context.plan = EnginePlan({EngineGroup("a", False): count})
+
+
+@then("{count:d} are ordered, and no others before 1 s has passed")
+def check_one_order(context: Any, count: int) -> None:
+    fleet: Fleet = context.fleet
+
+    def due(now: float) -> list[DueOrder]:
+        rows = orders.due_orders(
+            context.plan, fleet.limits, fleet.listing(), now
+        )
+        return [row for row in rows if row.group.data_centre == "a"]
+
+    (order,) = due(0.0)
+    assert order.engines == count, order
+    context.plan = orders.begin_order(context.plan, order, 0.0)
+    assert not due(0.9) and due(1.0)
