--- a/features/steps/scaling_steps.py
+++ b/features/steps/scaling_steps.py
@@ -164,6 +164,10 @@
     "steps of {peak:d} samples at the peak and {trough:d} in the trough run "
     "for {s:d} s"
 )
+@when(
+    "the steps become {peak:d} samples at the peak and {trough:d} in the "
+    "trough for {s:d} s"
+)
 def run_steps(context: Any, peak: int, trough: int, s: int) -> None:
     context.demand = (peak, trough)
     go_on(context, s)
@@ -356,14 +360,6 @@
     assert not departure.must_move(None, events, 0.05, 100.0)
 
 
-@when(
-    "the steps become {peak:d} samples at the peak and {trough:d} in the "
-    "trough for {s:d} s"
-)
-def change_steps(context: Any, peak: int, trough: int, s: int) -> None:
-    run_steps(context, peak, trough, s)
-
-
 @then("{count:d} engines are needed")
 def check_needed(context: Any, count: int) -> None:
     need = needed_engines(context.fleet.plan)
--- a/features/steps/scaling_tasks_steps.py
+++ b/features/steps/scaling_tasks_steps.py
@@ -33,6 +33,10 @@
 
 LIMITS = ScalingLimits(3, 8, 4.0, 0.2, {"dc": 1.0})
 WAITING = {"llm": 5}
+ENTRY = (
+    b'{"state": "draining", "slots": 8, "service": "llm", "zone": "dc",'
+    b'"address": "127.0.0.1:1", "born": 1, "spot": true, "leaves_ms": 2500}'
+)
 ERRORS = {
     "no response": DutyCallError("timeout", applied=None),
     "429": DutyCallError("429", applied=False),
@@ -259,19 +263,7 @@
 
 
 def read_entry(context: Any, now: int) -> None:
-    fields = {
-        "state": "draining",
-        "slots": 8,
-        "service": "llm",
-        "zone": "dc",
-        "address": "127.0.0.1:1",
-        "born": 1,
-        "spot": True,
-        "leaves_ms": 2500,
-    }
-    value = stored_value(
-        engines.TARGET_PREFIX + "t0", msgspec.json.encode(fields)
-    )
+    value = stored_value(engines.TARGET_PREFIX + "t0", ENTRY)
     record = engines.decode_record(value, float(now))
     assert record is not None and record.interruptible
     context.targets.replace([record], 0.0)
