Use one step for parameters that may be empty

Cause: steps on keys had a second decorator for each parameter that may be empty, since the step matcher does not match an empty text. Change: a parameter type that matches it; no scenario is changed.

--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -11,7 +11,8 @@
 from unittest import mock
 
 import msgspec
-from behave import given, then, when
+from behave import given, register_type, then, when
+from parse import with_pattern
 
 from features.platform_fakes import SERVICE, MemoryFleet
 from features.steps.platform_adapter_steps import CONFIG, stored_value
@@ -43,16 +44,24 @@
 ITEM_COUNT = 4
 
 
-@given('the organisation "{name}" with the keys "{listed}"')
+@with_pattern(r"[^\"]*")
+def text(value: str) -> str:
+    """Parses a parameter that may be empty."""
+    return value
+
+
+register_type(Text=text)
+
+
+@given('the organisation "{name}" with the keys "{listed:Text}"')
 def set_organisation(context: Any, name: str, listed: str) -> None:
     digests = [keys.digest(key) for key in listed.split(",")]
     entry = keys.ListedKeys(keys.Organisation(name), digests)
     context.keys = keys.build_table([entry]).table
 
 
-@when('the header "{value}" is checked')
-@when('the header "" is checked')
-def check_header(context: Any, value: str = "") -> None:
+@when('the header "{value:Text}" is checked')
+def check_header(context: Any, value: str) -> None:
     context.key_check = keys.check_key(context.keys, value)
 
 
@@ -67,9 +76,8 @@
     assert (context.key_check.organisation is not None) == (status == "valid")
 
 
-@given('the organisation "{name}" with the priority "{priority}"')
-@given('the organisation "{name}" with the priority ""')
-def set_priority(context: Any, name: str, priority: str = "") -> None:
+@given('the organisation "{name}" with the priority "{priority:Text}"')
+def set_priority(context: Any, name: str, priority: str) -> None:
     own = int(priority) if priority else None
     context.organisation = keys.Organisation(name, own)
 
@@ -114,10 +122,8 @@
     context.raw_config = {**CONFIG, **field}
 
 
-@then('the keys of "good" are "{good}" and of "other" "{other}"')
-@then('the keys of "good" are "" and of "other" ""')
-@then('the keys of "good" are "{good}" and of "other" ""')
-def check_keys(context: Any, good: str = "", other: str = "") -> None:
+@then('the keys of "good" are "{good:Text}" and of "other" "{other:Text}"')
+def check_keys(context: Any, good: str, other: str) -> None:
     context.decoded = decode(context, context.raw_config)
     expected = {
         keys.digest(key): name
@@ -301,16 +307,14 @@
     send(context, app, "POST", target, {"X-Request-Id": "j1", **headers}, body)
 
 
-@when('a {kind} with the header "{value}" is sent on a {access} route')
-@when('a {kind} with the header "" is sent on a {access} route')
-def send_request(context: Any, kind: str, access: str, value: str = "") -> None:
+@when('a {kind} with the header "{value:Text}" is sent on a {access} route')
+def send_request(context: Any, kind: str, access: str, value: str) -> None:
     app = context.interface_by_name["a"]
     send_kind(context, app, kind, access, {"Authorization": value})
 
 
-@then('it is answered with {status:d} "{code}"')
-@then('it is answered with {status:d} ""')
-def check_answer(context: Any, status: int, code: str = "") -> None:
+@then('it is answered with {status:d} "{code:Text}"')
+def check_answer(context: Any, status: int, code: str) -> None:
     found = (context.status, error_code(context.body))
     assert found == (status, code), (found, context.body)
     challenge = context.headers.get("WWW-Authenticate")
@@ -330,9 +334,8 @@
     return [request for target in targets for request in target.requests]
 
 
-@then('the target saw the organisation "{organisation}" and no key')
-@then('the target saw the organisation "" and no key')
-def check_seen(context: Any, organisation: str = "") -> None:
+@then('the target saw the organisation "{organisation:Text}" and no key')
+def check_seen(context: Any, organisation: str) -> None:
     if organisation != "-":
         assert wait_until(lambda: bool(seen_requests(context)), 2.0)
     found = seen_requests(context)
@@ -352,11 +355,10 @@
 
 
 @given(
-    'a job "j1" that was submitted with the header "{value}" on a '
+    'a job "j1" that was submitted with the header "{value:Text}" on a '
     "{access} route"
 )
-@given('a job "j1" that was submitted with the header "" on a {access} route')
-def submit_job(context: Any, access: str, value: str = "") -> None:
+def submit_job(context: Any, access: str, value: str) -> None:
     send_request(context, "job", access, value)
     assert context.status == 202, context.body
     context.access = access
@@ -364,9 +366,10 @@
     assert "j1" in context.memory.jobs_by_name["a"]._job_by_id
 
 
-@when('it is used at {name} by each call of a job with the header "{value}"')
-@when('it is used at {name} by each call of a job with the header ""')
-def use_job(context: Any, name: str, value: str = "") -> None:
+@when(
+    'it is used at {name} by each call of a job with the header "{value:Text}"'
+)
+def use_job(context: Any, name: str, value: str) -> None:
     app = context.interface_by_name[name]
     headers = {"Authorization": value}
     context.answers = []
@@ -383,20 +386,19 @@
         context.answers.append((context.status, error_code(context.body)))
 
 
-@then('each call is answered with {status:d} "{code}"')
-@then('each call is answered with {status:d} ""')
-def check_answers(context: Any, status: int, code: str = "") -> None:
+@then('each call is answered with {status:d} "{code:Text}"')
+def check_answers(context: Any, status: int, code: str) -> None:
     submitted = 202 if status == 200 else status
     expected = [(s, code) for s in (status, status, submitted, status)]
     assert context.answers == expected, context.answers
 
 
-@when('"{job}" is read with the header "{value}"')
+@when('"{job}" is read with the header "{value:Text}"')
 def read_job(context: Any, job: str, value: str) -> None:
     read_job_at(context, job, "a", value)
 
 
-@when('"{job}" is read at {name} with the header "{value}"')
+@when('"{job}" is read at {name} with the header "{value:Text}"')
 def read_job_at(context: Any, job: str, name: str, value: str) -> None:
     path = f"/hibiscuspin/lots/{urllib.parse.quote(job)}"
     app = context.interface_by_name[name]
@@ -409,7 +411,7 @@
     assert context.memory.jobs_by_name["b"].adopt("j1")
 
 
-@then('all its items ran as "{organisation}"')
+@then('all its items ran as "{organisation:Text}"')
 def check_items(context: Any, organisation: str) -> None:
     names = {f"i{number}" for number in range(ITEM_COUNT)}
 
@@ -461,9 +463,8 @@
     )
 
 
-@when('it sends a request of "{organisation}" that carries a key')
-@when('it sends a request of "" that carries a key')
-def send_forged(context: Any, organisation: str = "") -> None:
+@when('it sends a request of "{organisation:Text}" that carries a key')
+def send_forged(context: Any, organisation: str) -> None:
     headers = {**FORGED, "hibiscuspin-organisation": "forged"}
     request = ProxiedRequest(
         "r", "POST", "/", headers, b"", organisation=organisation
@@ -477,9 +478,8 @@
             context.sent = opened.call_args.kwargs["headers"]
 
 
-@then('the headers that name the caller are "{expected}"')
-@then('the headers that name the caller are ""')
-def check_sent(context: Any, expected: str = "") -> None:
+@then('the headers that name the caller are "{expected:Text}"')
+def check_sent(context: Any, expected: str) -> None:
     found = {
         name.lower(): value
         for name, value in context.sent.items()
@@ -493,7 +493,7 @@
     assert found == {name.lower(): value for name, _, value in pairs}, found
 
 
-@when('another instance sends on a {kind} of "{organisation}"')
+@when('another instance sends on a {kind} of "{organisation:Text}"')
 def send_relayed(context: Any, kind: str, organisation: str) -> None:
     headers = {"Hibiscuspin-Organisation": organisation}
     send_kind(context, context.relay, kind, "private", headers)
