Remove the setting and the packages of parts that were not built

Nothing reads limited_memory, and decisions/prompts and tasks/organisations hold no module, since prompt memory and fair queueing were not taken in.

--- a/hibiscuspin/decisions/prompts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decisions on the prompts and the memory of engines."""
--- a/hibiscuspin/platform/settings.py
+++ b/hibiscuspin/platform/settings.py
@@ -18,8 +18,6 @@
 MS_PER_S = 1000.0
 USAGE_DUTY = "usage_report"
 SCALING_DUTY = "autoscale"
-# With this contract, an engine crashes if its requests exceed its memory.
-MEMORY_CONTRACT = "pressure"
 
 
 class DutySettings(NamedTuple):
@@ -62,8 +60,6 @@
             store.
         duties: The calls that one instance at a time makes; None if there are
             none.
-        limited_memory: Whether an engine crashes if its requests exceed its
-            memory.
     """
 
     instance: str
@@ -80,7 +76,6 @@
     takeover_s: float
     first_start: bool
     duties: DutySettings | None = None
-    limited_memory: bool = False
 
 
 def read_settings_file(path: pathlib.Path) -> PlatformSettings:
@@ -120,7 +115,6 @@
         takeover_s=reader.number("bounds", "lease_ms") / MS_PER_S,
         first_start=raw.get("bootstrap") is True,
         duties=_read_duties(reader),
-        limited_memory=MEMORY_CONTRACT in (raw.get("contracts") or ()),
     )
     if reader.problems:
         raise SettingsError([f"{path}: {text}" for text in reader.problems])
--- a/hibiscuspin/tasks/organisations/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tasks that serve organisations by their shares."""
