Record the source of results that are read, and log slow reads

The logs of an incident showed that clients gave up reads of ended jobs, but not where the results came from. Latencies are now recorded by source (local, holder, store); a read that takes 0.5 s longer than the wait that the client asked for is logged with source, size and duration.

--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -31,6 +31,9 @@
 MS_PER_S = 1000.0
 MAX_WAIT_S = 1.0
 ACCEPTED_STATUS = 202
+# Clients leave 1.5 s after the wait that they asked for; slower reads than
+# this are logged.
+SLOW_READ_S = 0.5
 
 _log = get_logger("callers")
 
@@ -180,7 +183,24 @@
             incoming.header(words.WAIT_MS_HEADER) or "0", words.WAIT_MS_HEADER
         )
         wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S)
+        started = self._clock.monotonic()
         results = self._jobs.results(job, after, wait_s, requester)
+        took_s = self._clock.monotonic() - started
+        self._metrics.observe(f"job_results_{results.source}", took_s)
+        if took_s > wait_s + SLOW_READ_S:
+            _log.info(
+                "Slow read of results.",
+                extra={
+                    "job": job,
+                    "after": after,
+                    "source": results.source,
+                    "results": len(results.results),
+                    "bytes": results.size_bytes,
+                    "took_s": round(took_s, 3),
+                    "wait_s": wait_s,
+                    "client_left": incoming.disconnected(),
+                },
+            )
         body = batches.encode_results(results, after)
         return Response(200, words.JSON_CONTENT_TYPE, body)
 
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
@@ -44,7 +45,7 @@
 )
 from hibiscuspin.tasks.local_job import JobDependencies, LocalJob
 
-__all__ = ["Jobs", "JobResults"]
+__all__ = ["Jobs", "JobResults", "ResultSource"]
 
 ACCEPT_METHOD = "jobs.accept"
 ADOPT_METHOD = "jobs.adopt"
@@ -89,11 +90,31 @@
 _log = get_logger("rollouts")
 
 
+class ResultSource(StrEnum):
+    """Where results were read; the values are names in metrics and logs."""
+
+    LOCAL = "local"
+    HOLDER = "holder"
+    STORE = "store"
+
+
 class JobResults(NamedTuple):
-    """Results of a job from an index on, and the job's number of items."""
+    """Results of a job from an index on.
+
+    Attributes:
+        total: The job's number of items.
+        results: The results.
+        source: Where they were read; other instances do not send it.
+    """
 
     total: int
     results: Sequence[ItemResult]
+    source: ResultSource = ResultSource.LOCAL
+
+    @property
+    def size_bytes(self) -> int:
+        """The size of the results' texts."""
+        return sum(len(row.text) for row in self.results)
 
 
 class _AdoptRequest(NamedTuple):
@@ -425,7 +446,8 @@
                 },
             )
             return None
-        return msgspec.msgpack.decode(body, type=JobResults)
+        results = msgspec.msgpack.decode(body, type=JobResults)
+        return results._replace(source=ResultSource.HOLDER)
 
     def _stored_results(self, job: str, after: int) -> JobResults:
         deadline = self._clock.monotonic() + STORE_TIMEOUT_S
@@ -438,7 +460,11 @@
             rows = self._store.results(job, deadline)
         except StoreError as error:
             raise _store_unavailable(error) from error
-        return JobResults(stored.head["total"], _limit_size(rows[after:]))
+        return JobResults(
+            stored.head["total"],
+            _limit_size(rows[after:]),
+            ResultSource.STORE,
+        )
 
     def item_body(
         self, job: str, item: str, requester: Requester = UNCHECKED
