--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -82,3 +82,13 @@
       | HTTP/1.1 200 OK\r\n\r\n                          | a                               | drop by drop | call   |
       | HTTP/1.1 200 OK\r\n\r\n                          | a                               | fast         | stream |
       | HTTP/1.1 200 OK\r\n\r\n                          | a                               | drop by drop | stream |
+
+  Scenario Outline: an answer that comes drop by drop ends at the deadline without a check too
+    Given a raw server that sends "<start>" and then "a" drop by drop until it is closed
+    When the client asks it without a check, with 1 s to live
+    Then the call fails within 1.5 s, and little more is sent than may be read
+
+    Examples:
+      | start                                          |
+      | HTTP/1.1 200 OK\r\n\r\n                        |
+      | HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n |
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -222,6 +222,19 @@
         context.raw_error = error
 
 
+@when("the client asks it without a check, with {left:g} s to live")
+def request_trickle(context: Any, left: float) -> None:
+    started = monotonic()
+    context.raw_error = None
+    # Without a limit the call would last as long as the server.
+    thread = threading.Thread(
+        target=request_with_deadline, args=(context, left), daemon=True
+    )
+    thread.start()
+    thread.join(3 * left)
+    context.raw_took_s = monotonic() - started
+
+
 @then("the silence is reported")
 def check_reported_silent(context: Any) -> None:
     assert context.raw_error is not None and context.raw_error.silent, (
