Apply the deadline of a call to the whole response

A call between instances or to the store that names no check ended only after a silence as long as its time limit: each byte started the limit anew. Reads of results stayed with their holder for up to 2.6 s where 0.4 s are allowed, while their clients left after 1.5 s. The check of a caller was not called either while bytes kept coming.

HttpStream.read now needs limits, and request always passes its deadline. Calls to the store, whose attempts are limited by silence, say so: a long answer that flows is not cut off.

--- a/features/steps/software_versions_fleet_steps.py
+++ b/features/steps/software_versions_fleet_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from hibiscuspin.clock import monotonic
-from hibiscuspin.edges import TargetError
+from hibiscuspin.edges import TargetError, WaitLimits
 from hibiscuspin.edges.http import HttpStream, do_nothing
 from standins.platform_fleet import MODEL, PlatformFleet
 
@@ -18,6 +18,10 @@
 NOT_RUN_STATUS = 503
 
 
+def error_limits() -> WaitLimits:
+    return WaitLimits(monotonic() + STREAM_TIMEOUT_S, LINE_TIMEOUT_S)
+
+
 class ProcessStream:
     """A caller's stream over its tries at instance processes.
 
@@ -50,7 +54,7 @@
         """Reads at least `count` further events, or all to the end."""
         assert self.response is not None
         if self.response.status != OK_STATUS:
-            self.refusal = self.response.read()
+            self.refusal = self.response.read(error_limits())
             return
         end = None if count is None else len(self.numbers) + count
         stop_at = monotonic() + STREAM_TIMEOUT_S
@@ -132,6 +136,6 @@
     stream.open(context.platform, name)
     assert stream.response is not None
     assert stream.response.status == NOT_RUN_STATUS, stream.response.status
-    body = msgspec.json.decode(stream.response.read())
+    body = msgspec.json.decode(stream.response.read(error_limits()))
     assert body["error"]["code"] == "stream_not_resumable", body
     assert body["error"]["ran"] == "no", body
--- a/hibiscuspin/edges/engine.py
+++ b/hibiscuspin/edges/engine.py
@@ -144,7 +144,7 @@
             check=wait.check,
         )
         if stream.status != 200:
-            body = stream.read()
+            body = stream.read(wait)
             stream.close()
             raise TargetError(
                 f"engine responded with status {stream.status}",
@@ -168,7 +168,7 @@
                     )
                 chunks, done = _parse_lines(lines, request_id)
                 if done:
-                    stream.read()
+                    stream.read(wait)
                 if chunks:
                     yield chunks
                 if done:
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -158,12 +158,12 @@
         sock = _socket_of(self._response)
         return sock is not None and _has_buffered(self._response, sock, stall_s)
 
-    def read(self, wait: WaitLimits | None = None) -> bytes:
+    def read(self, wait: WaitLimits) -> bytes:
         """Reads the rest of the response.
 
         Args:
-            wait: Limits on waiting for each part; None for the socket's own
-                timeout.
+            wait: Limits on waiting. The socket's own timeout would start anew
+                with each byte.
 
         Raises:
             TargetError: The connection failed or stalled, or the response was
@@ -173,8 +173,10 @@
         size = 0
         try:
             while not self._response.isclosed() and size < MAX_RESPONSE_BYTES:
+                # While bytes keep coming, waiting alone does not call it.
+                wait.check()
                 # Nothing follows the headers of a response with an empty body.
-                if wait is not None and self._response.length != 0:
+                if self._response.length != 0:
                     self._client.wait(
                         self._connection,
                         self._response,
@@ -245,14 +247,16 @@
         *,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        stall_s: float | None = None,
         check: Callable[[], None] | None = None,
         before_send: Callable[[], None] | None = None,
     ) -> HttpResponse:
         """Sends one request and reads the complete response.
 
-        `check` is called while waiting, and may raise an exception to end the
-        wait. `before_send` is called when a connection is established, and may
-        raise an exception to send nothing.
+        `stall_s` is the longest time without a byte; None for no limit but the
+        deadline. `check` is called while waiting, and may raise an exception to
+        end the wait. `before_send` is called when a connection is established,
+        and may raise an exception to send nothing.
 
         Raises:
             TargetError: No complete response arrived by the deadline.
@@ -263,12 +267,16 @@
             deadline,
             body=body,
             headers=headers,
+            stall_s=stall_s,
             check=check,
             before_send=before_send,
         )
-        wait = WaitLimits(deadline, deadline, check) if check else None
+        remaining_s = max(0.0, deadline - self._clock.monotonic())
+        limit_s = remaining_s if stall_s is None else min(remaining_s, stall_s)
         try:
-            data = stream.read(wait)
+            data = stream.read(
+                WaitLimits(deadline, limit_s, check or do_nothing)
+            )
             return HttpResponse(stream.status, stream.headers, data)
         finally:
             stream.close()
--- a/hibiscuspin/peers/rpc.py
+++ b/hibiscuspin/peers/rpc.py
@@ -50,10 +50,26 @@
         self._suspect_until_by_address: dict[str, float] = {}
 
     def call(
-        self, address: str, method: str, body: bytes, timeout_s: float
+        self,
+        address: str,
+        method: str,
+        body: bytes,
+        timeout_s: float,
+        *,
+        stall_s: float | None = None,
+        check: Callable[[], None] | None = None,
     ) -> bytes:
         """Calls a method of another instance.
 
+        Args:
+            address: The instance's address for such calls.
+            method: The method.
+            body: The encoded argument.
+            timeout_s: How long the whole call may take.
+            stall_s: The longest time without a byte; None for no limit but
+                `timeout_s`.
+            check: Called while waiting; may raise an exception to end the call.
+
         Raises:
             PeerUnreachableError: No complete response arrived in time.
             HibiscusError: The other instance responded with an error.
@@ -61,7 +77,12 @@
         deadline = self._clock.monotonic() + timeout_s
         try:
             response = self._get_client(address).request(
-                "POST", f"/{method}", deadline, body=body
+                "POST",
+                f"/{method}",
+                deadline,
+                body=body,
+                stall_s=stall_s,
+                check=check,
             )
         except TargetError as error:
             suspect_until = self._clock.monotonic() + SUSPECT_S
--- a/hibiscuspin/tasks/store_path.py
+++ b/hibiscuspin/tasks/store_path.py
@@ -131,10 +131,13 @@
                 failed.
         """
         now = self._clock.monotonic()
-        end = min(deadline, now + store_paths.direct_timeout_s(self._path))
         try:
             response = self._client.request(
-                call.method, call.target, end, body=call.body or None
+                call.method,
+                call.target,
+                deadline,
+                body=call.body or None,
+                stall_s=store_paths.direct_timeout_s(self._path),
             )
         except TargetError as error:
             if error.silent:
@@ -216,7 +219,8 @@
                 address,
                 RELAY_METHOD,
                 msgspec.msgpack.encode((call.method, call.target, call.body)),
-                min(remaining_s, RELAY_TIMEOUT_S),
+                remaining_s,
+                stall_s=RELAY_TIMEOUT_S,
             )
         except PeerUnreachableError as error:
             raise StoreError(f"relay: {error}", None) from error
