Read final results from the store, and end reads that clients have left

Clients gave up after 1.5 s, repeated the read elsewhere, and what was under way for them was still sent.

The results of a job that has ended or is done no longer change: they are read from the store, and the holder is asked only if that fails or the store is out of reach. A reader that does not know that the job has ended is told so by its holder in place of the results. A transfer between instances ends when its client leaves. Builds before this one are told that the holder does not hold the job, and read the store as well; holders of such builds are asked by the method that they know.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -617,7 +617,14 @@
         return address in self._suspects or self._peers.is_suspect(address)
 
     def call(
-        self, address: str, method: str, body: bytes, timeout_s: float
+        self,
+        address: str,
+        method: str,
+        body: bytes,
+        timeout_s: float,
+        *,
+        stall_s: float | None = None,
+        check: Callable[[], None] | None = None,
     ) -> bytes:
         """Calls an instance, unless it can't be reached."""
         if address.partition("/")[0] in self.cut_from:
@@ -795,7 +802,12 @@
             lambda service: 1.0,
             self.clock,
         )
-        jobs = Jobs(dependencies, instances, peers)
+        jobs = Jobs(
+            dependencies,
+            instances,
+            peers,
+            lambda: not (self.store.down or connection.cut),
+        )
         exchange = TargetExchange(
             targets, jobs.open_jobs, instances, peers, self.clock
         )
--- a/features/result_reads.feature
+++ b/features/result_reads.feature
@@ -26,3 +26,31 @@
     Given 1 job of a that its link carries in 3 s
     When its client leaves 0.2 s after it began to read at b
     Then the read ends within 0.5 s, and the link of a carries little more
+
+  Scenario Outline: the order in which ended results are read
+    When a holder <answers> and the store is <store>
+    Then ended results are read from <order>
+
+    Examples:
+      | answers         | store        | order         |
+      | answers         | reachable    | store, holder |
+      | answers         | out of reach | holder, store |
+      | does not answer | reachable    | store         |
+      | does not answer | out of reach | store         |
+
+  Scenario Outline: what a holder sends of a job
+    When a reader asks for <size> bytes of a job that <state>
+    Then the holder <does>
+
+    Examples:
+      | size   | state      | does                |
+      | 900000 | is open    | sends them          |
+      | 20000  | has ended  | sends them          |
+      | 900000 | has ended  | refers to the store |
+
+  Scenario: an ended job that was deleted is not found
+    Given 1 job of a that its link carries in 3 s
+    When a ends them
+    And two clients of each job read it at b and c, in attempts of 1.5 s
+    And the jobs are deleted
+    Then b finds none of them
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -23,7 +23,7 @@
 from hibiscuspin.platform.settings import read_settings_file
 from hibiscuspin.settings import SettingsError
 from hibiscuspin.tasks.job_store import ItemResult, RewardRequest
-from hibiscuspin.tasks.jobs import JobResults
+from hibiscuspin.tasks.result_reads import JobResults
 from hibiscuspin.tasks.route_table import Routes
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
--- a/features/steps/result_reads_steps.py
+++ b/features/steps/result_reads_steps.py
@@ -7,13 +7,15 @@
 
 from behave import given, then, when
 
+from bench.fleet import free_address
 from features.narrow_link import NarrowLink
 from features.platform_fakes import MemoryFleet, PeerConnection, job_contents
-from features.steps.http_server_steps import free_address, is_listening
+from features.steps.http_server_steps import is_listening
 from features.steps.platform_jobs_steps import wait_until
 from hibiscuspin.clock import SystemClock, monotonic
+from hibiscuspin.decisions import result_reads
 from hibiscuspin.edges import StoreError
-from hibiscuspin.errors import HibiscusError
+from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.peers.rpc import PeerHttpClient, peer_app
 from hibiscuspin.tasks.http_server import HttpServer
 from hibiscuspin.tasks.job_store import ItemResult, JobHead, JobStore
@@ -107,7 +109,7 @@
     serve_holder(context, context.size_bytes, seconds)
     for name in "bc":
         jobs: Any = context.memory.jobs_by_name[name]
-        jobs._peers = LinkedPeers(
+        jobs._reader._peers = LinkedPeers(
             context.memory.peers_by_name[name], "a/1", context.link
         )
 
@@ -211,3 +213,43 @@
     time.sleep(limit)
     more = context.link.sent_bytes - sent_bytes
     assert more < context.size_bytes / 10, more
+
+
+@when("the jobs are deleted")
+def delete_jobs(context: Any) -> None:
+    store = JobStore(context.memory.store, SystemClock())
+    for job in context.job_ids:
+        store.delete(job, monotonic() + DEADLINE_S)
+
+
+@then("b finds none of them")
+def check_not_found(context: Any) -> None:
+    for job in context.job_ids:
+        try:
+            context.memory.jobs_by_name["b"].results(job, 0, 0.0)
+        except HibiscusError as error:
+            assert error.kind is ErrorKind.NOT_FOUND, error
+        else:
+            raise AssertionError(f"job {job} was read")
+
+
+@when("a holder {answers} and the store is {store}")
+def order_sources(context: Any, answers: str, store: str) -> None:
+    context.sources = result_reads.sources(
+        answers == "answers", store == "reachable"
+    )
+
+
+@then("ended results are read from {order}")
+def check_order(context: Any, order: str) -> None:
+    assert ", ".join(context.sources) == order, context.sources
+
+
+@when("a reader asks for {size:d} bytes of a job that {state}")
+def ask_for_results(context: Any, size: int, state: str) -> None:
+    context.sends = result_reads.sends_results(state == "has ended", size)
+
+
+@then("the holder {does}")
+def check_sends(context: Any, does: str) -> None:
+    assert context.sends is (does == "sends them")
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -175,6 +175,7 @@
             ),
             self._instances,
             self._peers,
+            lambda: self._store_path.is_direct,
         )
         self._exchange = TargetExchange(
             self._targets,
--- a/hibiscuspin/platform/batches.py
+++ b/hibiscuspin/platform/batches.py
@@ -16,7 +16,7 @@
     JobItem,
     RewardRequest,
 )
-from hibiscuspin.tasks.jobs import JobResults
+from hibiscuspin.tasks.result_reads import JobResults
 
 __all__ = ["decode_job", "encode_results"]
 
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -184,7 +184,9 @@
         )
         wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S)
         started = self._clock.monotonic()
-        results = self._jobs.results(job, after, wait_s, requester)
+        results = self._jobs.results(
+            job, after, wait_s, requester, incoming.disconnected
+        )
         took_s = self._clock.monotonic() - started
         self._metrics.observe(f"job_results_{results.source}", took_s)
         if took_s > wait_s + SLOW_READ_S:
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -6,15 +6,14 @@
 
 import threading
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import holders, recovery
+from hibiscuspin.decisions import holders, recovery, result_reads
 from hibiscuspin.decisions.organisations.job_access import (
     UNCHECKED,
     JobAccess,
@@ -22,6 +21,7 @@
     job_access,
 )
 from hibiscuspin.decisions.recovery import LiveInstance
+from hibiscuspin.decisions.result_reads import ResultSource
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.decisions.samples import SampleEvent
 from hibiscuspin.decisions.software import Software
@@ -36,7 +36,6 @@
 from hibiscuspin.tasks.instances import Instances
 from hibiscuspin.tasks.job_store import (
     FencedError,
-    ItemResult,
     JobContents,
     JobHead,
     SavedSamples,
@@ -44,15 +43,22 @@
     trim_default,
 )
 from hibiscuspin.tasks.local_job import JobDependencies, LocalJob
+from hibiscuspin.tasks.result_reads import (
+    ENDED_RESULTS_METHOD,
+    RESULTS_METHOD,
+    JobResults,
+    ResultReader,
+    ResultsRequest,
+    limit_size,
+)
 
-__all__ = ["Jobs", "JobResults", "ResultSource"]
+__all__ = ["Jobs"]
 
 ACCEPT_METHOD = "jobs.accept"
 ADOPT_METHOD = "jobs.adopt"
 END_METHOD = "jobs.end"
 HOLDS_METHOD = "jobs.holds"
 ITEM_METHOD = "jobs.item"
-RESULTS_METHOD = "jobs.results"
 
 MAX_CONTROL_THREADS = 64
 # An instance that responds accepts a job within 0.1 s.
@@ -71,9 +77,6 @@
 # creating a job is retried for this long.
 ACCEPT_TIMEOUT_S = 4.0
 ACCEPT_RETRY_S = 0.1
-# Readers wait 1.5 s longer than the `wait_s` they send. If the holder has not
-# responded within this slack, the store is read in the rest of that time.
-PEER_RESPONSE_SLACK_S = 0.4
 PEER_TIMEOUT_S = 0.8
 # The recovery of a lost holder's job waits for this timeout; a live holder
 # responds within 20 ms.
@@ -83,40 +86,10 @@
 EVACUATION_PERIOD_S = 1.5
 END_TIMEOUT_S = 2.0
 ADOPT_TIMEOUT_S = 2.5
-# Responses to readers are limited to 1 MB; JSON escaping adds little to the
-# size of these texts.
-MAX_RESPONSE_BYTES = 900_000
 
 _log = get_logger("rollouts")
 
 
-class ResultSource(StrEnum):
-    """Where results were read; the values are names in metrics and logs."""
-
-    LOCAL = "local"
-    HOLDER = "holder"
-    STORE = "store"
-
-
-class JobResults(NamedTuple):
-    """Results of a job from an index on.
-
-    Attributes:
-        total: The job's number of items.
-        results: The results.
-        source: Where they were read; other instances do not send it.
-    """
-
-    total: int
-    results: Sequence[ItemResult]
-    source: ResultSource = ResultSource.LOCAL
-
-    @property
-    def size_bytes(self) -> int:
-        """The size of the results' texts."""
-        return sum(len(row.text) for row in self.results)
-
-
 class _AdoptRequest(NamedTuple):
     job: str
     events_by_name: Mapping[str, Sequence[SampleEvent]]
@@ -124,12 +97,6 @@
     software_by_name: Mapping[str, Software] = {}
 
 
-class _ResultsRequest(NamedTuple):
-    job: str
-    after: int
-    wait_s: float
-
-
 class _ItemRequest(NamedTuple):
     job: str
     item: str
@@ -143,13 +110,26 @@
         dependencies: JobDependencies,
         instances: Instances,
         peers: PeerHttpClient,
+        store_is_reachable: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Creates the jobs.
+
+        Args:
+            dependencies: What all jobs share.
+            instances: The live instances.
+            peers: Calls other instances.
+            store_is_reachable: Returns whether the last direct call to the
+                store succeeded.
+        """
         self._dependencies = dependencies
         self._store = dependencies.store
         self._reach = dependencies.targets.reach
         self._instances = instances
         self._peers = peers
         self._clock: Clock = dependencies.clock
+        self._reader = ResultReader(
+            dependencies.store, peers, dependencies.clock, store_is_reachable
+        )
         self._lock = threading.Lock()
         self._job_by_id: dict[str, LocalJob] = {}
         self._head_by_id: dict[str, StoredHead] = {}
@@ -172,6 +152,7 @@
             HOLDS_METHOD: self._serve_holds,
             ITEM_METHOD: self._serve_item,
             RESULTS_METHOD: self._serve_results,
+            ENDED_RESULTS_METHOD: self._serve_ended_results,
         }
 
     def submit(
@@ -389,82 +370,40 @@
         after: int,
         wait_s: float,
         requester: Requester = UNCHECKED,
+        client_left: Callable[[], bool] = lambda: False,
     ) -> JobResults:
         """Returns results from an index on; waits up to `wait_s` for the first.
 
         Raises:
             HibiscusError: `NOT_FOUND` if there is no such job for the
                 requester, `NO_TOKEN` if it needs a key, `STORE_UNAVAILABLE`
-                if the store could not be read.
+                if the store could not be read, `CANCELLED` if the client has
+                left.
         """
+        request = ResultsRequest(job, after, wait_s)
         local = self._job_by_id.get(job)
         if local is not None:
             _check_access(job, local.stored.head, requester)
-            found = self._local_results(job, after, wait_s)
+            found = self._local_results(request)
             if found is not None:
                 return found
-        head = self._permitted_head(job, requester).head
-        remote = self._remote_results(head, job, after, wait_s)
-        if remote is not None:
-            return remote
-        return self._stored_results(job, after)
-
-    def _local_results(
-        self, job: str, after: int, wait_s: float
-    ) -> JobResults | None:
-        local = self._job_by_id.get(job)
+        stored = self._permitted_head(job, requester)
+        holder = self._remote_holder(stored.head)
+        results = self._reader.read(request, stored, holder, client_left)
+        if results.source is ResultSource.STORE and not stored.head["ended"]:
+            self._head_by_id.pop(job, None)
+        return results
+
+    def _local_results(self, request: ResultsRequest) -> JobResults | None:
+        local = self._job_by_id.get(request.job)
         if local is None:
             return None
-        until = self._clock.monotonic() + wait_s
-        rows, holds = local.results(after, until)
+        until = self._clock.monotonic() + request.wait_s
+        rows, holds = local.results(request.after, until)
         if not holds:
-            self._drop(job)
+            self._drop(request.job)
             return None
-        return JobResults(len(local.contents.items), _limit_size(rows))
-
-    def _remote_results(
-        self, head: JobHead, job: str, after: int, wait_s: float
-    ) -> JobResults | None:
-        member = self._remote_holder(head)
-        if member is None:
-            self._head_by_id.pop(job, None)
-            return None
-        request = msgspec.msgpack.encode(_ResultsRequest(job, after, wait_s))
-        timeout_s = wait_s + PEER_RESPONSE_SLACK_S
-        try:
-            body = self._peers.call(
-                member.address, RESULTS_METHOD, request, timeout_s
-            )
-        except (PeerUnreachableError, HibiscusError) as error:
-            self._head_by_id.pop(job, None)
-            _log.info(
-                "Results not read from the job's holder.",
-                extra={
-                    "job": job,
-                    "holder": member.name,
-                    "reason": str(error),
-                },
-            )
-            return None
-        results = msgspec.msgpack.decode(body, type=JobResults)
-        return results._replace(source=ResultSource.HOLDER)
-
-    def _stored_results(self, job: str, after: int) -> JobResults:
-        deadline = self._clock.monotonic() + STORE_TIMEOUT_S
-        try:
-            stored = self._store.head(job, deadline)
-            if stored is None:
-                raise HibiscusError(
-                    ErrorKind.NOT_FOUND, f"Job {job} does not exist."
-                )
-            rows = self._store.results(job, deadline)
-        except StoreError as error:
-            raise _store_unavailable(error) from error
-        return JobResults(
-            stored.head["total"],
-            _limit_size(rows[after:]),
-            ResultSource.STORE,
-        )
+        return JobResults(len(local.contents.items), limit_size(rows))
 
     def item_body(
         self, job: str, item: str, requester: Requester = UNCHECKED
@@ -868,14 +807,23 @@
         self._head_by_id.pop(job, None)
 
     def _serve_results(self, body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=_ResultsRequest)
-        results = self._local_results(
-            request.job, request.after, request.wait_s
-        )
+        request = msgspec.msgpack.decode(body, type=ResultsRequest)
+        results = self._results_for_peer(request)
+        local = self._job_by_id.get(request.job)
+        ended = local is not None and local.stored.head["ended"]
+        if not result_reads.sends_results(ended, results.size_bytes):
+            raise _not_holder(request.job)
+        return _encode_results(results)
+
+    def _serve_ended_results(self, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=ResultsRequest)
+        return _encode_results(self._results_for_peer(request))
+
+    def _results_for_peer(self, request: ResultsRequest) -> JobResults:
+        results = self._local_results(request)
         if results is None:
             raise _not_holder(request.job)
-        rows = [trim_default(row) for row in results.results]
-        return msgspec.msgpack.encode((results.total, rows))
+        return results
 
     def _serve_item(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_ItemRequest)
@@ -967,11 +915,6 @@
     )
 
 
-def _limit_size(rows: Sequence[ItemResult]) -> Sequence[ItemResult]:
-    """Returns the results that fit into one response, at least one."""
-    size = 0
-    for count, row in enumerate(rows):
-        size += len(row.text)
-        if count and size > MAX_RESPONSE_BYTES:
-            return rows[:count]
-    return rows
+def _encode_results(results: JobResults) -> bytes:
+    rows = [trim_default(row) for row in results.results]
+    return msgspec.msgpack.encode((results.total, rows))
