Print why a scenario failed, with the logs of its processes

A failed run named only the scenario, so rare failures could not be traced: KNOWN-RED.txt says "the message was not kept" for five of them. The runner now prints for each failed scenario, feature hook and known failure the failing step with its place, error message and traceback, at most 6000 characters. A step that fails while a fleet runs also keeps the last 4000 characters of the log of each process, since the logs are deleted with the fleet. The last line of output is unchanged.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -111,6 +111,10 @@
         """Returns whether the process is still running."""
         return self._process.poll() is None
 
+    def log_tail(self, max_chars: int) -> str:
+        """Returns the end of the process's log."""
+        return self.log_path.read_text(errors="replace")[-max_chars:]
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal if the process is still running."""
         if self.running():
@@ -190,6 +194,10 @@
         for process in reversed(self._processes):
             process.stop(timeout_s=3.0)
 
+    def log_tails(self, max_chars: int) -> dict[str, str]:
+        """Returns the ends of the logs of all processes, by process name."""
+        return {p.name: p.log_tail(max_chars) for p in self._processes}
+
     def standin(self, module: str, name: str, *flags: str) -> Address:
         """Starts a stand-in and returns its address."""
         address = self.address(name)
--- a/features/environment.py
+++ b/features/environment.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from bench.fleet import Fleet
+from features.failures import keep_log_tails
 from standins.platform_fleet import PlatformFleet
 
 
@@ -22,8 +23,15 @@
     if "fleet" not in feature.tags:
         return
     context.fleet_manager = Fleet.running()
-    fleet = context.fleet_manager.__enter__()
-    context.fleet = fleet
+    context.fleet = context.fleet_manager.__enter__()
+    try:
+        _start_fleet(context.fleet)
+    except Exception:
+        keep_log_tails(context, feature)
+        raise
+
+
+def _start_fleet(fleet: Fleet) -> None:
     fleet.platform()
     config = fleet.targets("examples/canjea")
     fleet.daemon("cba-a-1", "cba-a")
@@ -42,6 +50,12 @@
         context.platform_folder.cleanup()
 
 
+def after_step(context: Any, step: Any) -> None:
+    """Keeps the logs of processes for the report of a failed step."""
+    if step.status.has_failed():
+        keep_log_tails(context, step)
+
+
 def after_scenario(context: Any, scenario: Any) -> None:
     """Clears the faults that a scenario injected into stand-ins."""
     for name in getattr(context, "faulty_standins", ()):
--- a/features/run.py
+++ b/features/run.py
@@ -1,5 +1,8 @@
 """Runs features, by default all; the last line is `N passed, N failed`.
 
+The failing step of each failed scenario is printed with its error message,
+its traceback and the ends of the logs of the processes that it ran against.
+
 Scenarios listed in KNOWN-RED.txt may fail: they are run, and their failures
 are printed and counted separately. A listed scenario that passes again fails
 the run until its entry is removed.
@@ -13,6 +16,8 @@
 from behave.model import Status
 from behave.runner import Runner
 
+from features.failures import describe_failures
+
 __all__ = ["main", "read_known_red", "split_failures"]
 
 KNOWN_RED_PATH = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -59,6 +64,8 @@
         for s in scenarios
         if s.status != Status.passed and s.status not in not_run
     ]
+    for description in describe_failures(runner.features):
+        print(f"{description}\n")
     known, unexpected = split_failures(passed, failed, read_known_red())
     for name in known:
         print(f"known red: {name}")
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -103,6 +103,10 @@
             platform.wait_registered()
             yield platform
 
+    def log_tails(self, max_chars: int) -> dict[str, str]:
+        """Returns the ends of the logs of all processes, by process name."""
+        return self._fleet.log_tails(max_chars)
+
     def wait_store(self) -> None:
         """Waits until the store responds."""
         wait_for(self._store_responds, START_TIMEOUT_S, "the store's start")
@@ -317,10 +321,8 @@
                     f"{instance.name} being ready",
                 )
             except TimeoutError as error:
-                log = instance.process.log_path.read_text()
-                raise TimeoutError(
-                    f"{error}\n{log[-LOG_TAIL_CHARS:]}"
-                ) from error
+                log = instance.process.log_tail(LOG_TAIL_CHARS)
+                raise TimeoutError(f"{error}\n{log}") from error
 
     def wait_registered(self) -> None:
         """Waits until all targets are registered and instances serve calls."""
