Read only changes of state as the states of a paused peer

The states that it checks, and that each whole line is JSON, are unchanged; a last line that is still being written is left for the next read.

--- a/features/steps/shared_fleet_steps.py
+++ b/features/steps/shared_fleet_steps.py
@@ -12,6 +12,7 @@
 
 WAIT_S = 20.0
 NAMES = ("pair-1", "pair-2")
+STATE_MESSAGE = "MEMBER: Instance state changed."
 
 
 @given("two configured instances of one data centre")
@@ -79,16 +80,28 @@
     log = _first_instance(context.pair).process.log_path
 
     def states() -> list[str]:
-        lines = [json.loads(t) for t in log.read_text().splitlines()]
-        return [x["state"] for x in lines if x.get("peer") == NAMES[1]]
+        return _logged_states(log.read_text(), NAMES[1])
 
     wait_for(
-        lambda: states()[-1] == "alive", WAIT_S, "the return of the paused peer"
+        lambda: states()[-1:] == ["alive"],
+        WAIT_S,
+        "the return of the paused peer",
     )
     assert "paused" in states(), states()
     assert "dead" not in states(), states()
 
 
+def _logged_states(log: str, peer: str) -> list[str]:
+    """Returns the states of a peer in order; each whole line must be JSON."""
+    whole_lines = log[: log.rfind("\n") + 1].splitlines()
+    entries = [json.loads(line) for line in whole_lines]
+    return [
+        entry["state"]
+        for entry in entries
+        if entry["message"] == STATE_MESSAGE and entry["peer"] == peer
+    ]
+
+
 @when("it is started again")
 def restart_second(context: Any) -> None:
     context.pair.daemon(NAMES[1], "dc-a")
