End the own side of a stream that the peer has ended

When the peer ended a stream, for example since it had been paused and took its own silence for a lost link, grpclib raised "Outgoing stream was not ended", which was logged as an error with a traceback, and hid the status that the peer gave. The opener now ends its side first, so the status is read and the stream counts as lost, or as ended without an error.

peer_links.feature failed before with a logged error for the status OK, and passes now; shared_peers and shared_membership pass, 29 of 29 together.

--- /dev/null
+++ b/features/peer_links.feature
@@ -0,0 +1,11 @@
+Feature: An instance reopens its streams to peers, and tells why they ended
+
+  Scenario Outline: A stream that its acceptor ends is lost, not a fault
+    Given an acceptor that ends each stream with status "<status>"
+    When an instance opens a stream to it
+    Then the stream is reopened within 10 s without a logged error
+
+    Examples:
+      | status      |
+      | OK          |
+      | UNAVAILABLE |
--- a/hibiscuspin/peers/links.py
+++ b/hibiscuspin/peers/links.py
@@ -139,6 +139,9 @@
                 timeout=None, metadata=metadata
             ) as stream:
                 await self._run_link(stream)
+                # The peer has ended the stream. grpclib reads the status only
+                # of a stream that this end has ended too.
+                await stream.end()
         finally:
             channel.close()
 
