Stop counting a peer that has restarted as refusing connections

A peer that refused a connection while it restarted counted as refusing until its next stream ended without an error. Its Hello now removes it from the refusing peers.

--- a/features/peer_links.feature
+++ b/features/peer_links.feature
@@ -9,3 +9,8 @@
       | status      |
       | OK          |
       | UNAVAILABLE |
+
+  Scenario: A peer that accepts streams again no longer counts as refusing
+    Given a peer that refuses connections until it is restarted
+    When an instance opens a stream to it, and it is restarted
+    Then it no longer counts as refusing while the stream is open
--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
@@ -16,6 +17,7 @@
 
 PEER = "p-1"
 POLL_INTERVAL_S = 0.02
+WAIT_S = 10.0
 
 
 class _Acceptor(hibiscuspin_grpc.PeersBase):  # type: ignore[misc]
@@ -36,6 +38,15 @@
         raise GRPCError(Status.UNIMPLEMENTED)
 
 
+class _KeepingAcceptor(_Acceptor):
+    """Keeps each stream open."""
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        await super().Exchange(stream)
+        async for _ in stream:
+            pass
+
+
 class _LogRecorder(logging.Handler):
     """Keeps the messages of warnings and errors."""
 
@@ -99,3 +110,47 @@
     await links.close()
     server.close()
     await server.wait_closed()
+
+
+@given("a peer that refuses connections until it is restarted")
+def create_restarting_peer(context: Any) -> None:
+    context.acceptor = _KeepingAcceptor(Status.OK)
+    context.peer_address = free_address()
+
+
+@when("an instance opens a stream to it, and it is restarted")
+def open_stream_across_restart(context: Any) -> None:
+    context.refusing_before, context.refusing_after = asyncio.run(
+        _observe_restart(context.acceptor, context.peer_address)
+    )
+
+
+@then("it no longer counts as refusing while the stream is open")
+def check_not_refusing(context: Any) -> None:
+    assert context.refusing_before == {PEER}, context.refusing_before
+    assert context.refusing_after == set(), context.refusing_after
+
+
+async def _observe_restart(
+    acceptor: _Acceptor, address: Any
+) -> tuple[set[str], set[str]]:
+    """Returns the refusing peers before and after the start of a peer."""
+    links = _new_links()
+    links.reconcile({PEER: str(address)})
+    await _poll(lambda: bool(links.refusing_peers))
+    before = set(links.refusing_peers)
+    server = Server([acceptor])
+    await server.start(address.host, address.port)
+    await _poll(lambda: links.neighbours() == {PEER})
+    after = set(links.refusing_peers)
+    await links.close()
+    server.close()
+    await server.wait_closed()
+    return before, after
+
+
+async def _poll(condition: Callable[[], bool]) -> None:
+    deadline = monotonic() + WAIT_S
+    while not condition():
+        assert monotonic() < deadline, "the awaited state did not come"
+        await asyncio.sleep(POLL_INTERVAL_S)
--- a/hibiscuspin/peers/links.py
+++ b/hibiscuspin/peers/links.py
@@ -28,8 +28,9 @@
 
     Attributes:
         refusing_peers: Names of peers whose address refused a connection. A
-            name is removed when a later stream to the peer ends without an
-            error, or when `reconcile` drops the peer or changes its address.
+            name is removed when the peer sends a `Hello`, when a later stream
+            to it ends without an error, or when `reconcile` drops the peer or
+            changes its address.
     """
 
     def __init__(
@@ -145,8 +146,14 @@
         finally:
             channel.close()
 
+    def _record_hello(self, link: Link) -> None:
+        # A peer that has restarted would otherwise be judged dead, in place of
+        # slow or paused, when it is silent later.
+        self.refusing_peers.discard(link.instance)
+        self._on_hello(link)
+
     async def _run_link(self, stream: Any) -> None:
-        link = Link(stream, self._on_update, self._on_hello)
+        link = Link(stream, self._on_update, self._record_hello)
         self._links.append(link)
         link_task = asyncio.ensure_future(link.run(self._hello()))
         try:
