Print the local variables of a step whose check failed

Many checks have no message: a failed run of once.feature showed an empty "ASSERT FAILED", and not which two responses differed. The variables of the function that raised are now printed, each at most 500 characters. The scenario of known_red.feature failed before with the value missing.

--- a/features/failures.py
+++ b/features/failures.py
@@ -1,5 +1,6 @@
 """Describes failed scenarios: the failing step, its error, and process logs."""
 
+import reprlib
 import traceback
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -12,6 +13,7 @@
 MAX_ERROR_CHARS = 6000
 # Kept per process. A daemon under test logs some 200 characters a line.
 LOG_TAIL_CHARS = 4000
+MAX_LOCAL_CHARS = 500
 # Attributes of behave's context under which features keep their processes.
 FLEET_ATTRIBUTES = ("fleet", "pair", "platform")
 
@@ -63,12 +65,31 @@
     if exception is not None and "Traceback (most recent" not in message:
         message += "\n" + "".join(traceback.format_exception(exception))
     lines = _shorten(message.strip()).splitlines()
+    lines += _describe_locals(exception)
     for name, tail in getattr(statement, "log_tails_by_name", {}).items():
         if tail:
             lines += [f"end of the log of {name}:", *tail.splitlines()]
     return [f"  {line}" for line in lines]
 
 
+def _describe_locals(exception: BaseException | None) -> list[str]:
+    """Returns the local variables of the function that raised an exception.
+
+    They show the values that an assertion without a message compared.
+    """
+    frames = list(
+        traceback.walk_tb(exception.__traceback__ if exception else None)
+    )
+    if not frames:
+        return []
+    limited = reprlib.Repr()
+    limited.maxstring = limited.maxother = MAX_LOCAL_CHARS
+    return [
+        f"{name} = {limited.repr(value)}"
+        for name, value in frames[-1][0].f_locals.items()
+    ]
+
+
 def _shorten(text: str) -> str:
     """Omits the middle of a text that is too long."""
     omitted = len(text) - MAX_ERROR_CHARS
--- a/features/steps/known_red_steps.py
+++ b/features/steps/known_red_steps.py
@@ -42,6 +42,7 @@
 
 @then("a check fails")
 def fail_check(context):
+    measured = "value of a check"
     assert False, "message of a check"
 
 
@@ -131,12 +132,13 @@
     return completed.stdout
 
 
-@then("the output names each failing step, its place and its message")
+@then("the output names each failing step, its place, message and values")
 def check_output(context: Any) -> None:
     expected = (
         "some.feature:6 Then a check fails (failed after",
         "message of a check",
         "in fail_check",
+        "measured = 'value of a check'",
         "some.feature:8 When an error occurs (error after",
         "KeyError: 'key of an error'",
         "in raise_error",
