Repeat an offer as told while its outcome is being stored

The seller now repeats the offer once, after the time that the response names, and no other answer may come before. Both answers must be the same and the offer must have run once, as before.

--- a/features/once.feature
+++ b/features/once.feature
@@ -3,7 +3,7 @@
 
   Scenario: The outcome is replayed to the same key in another data centre
     When a seller sends offer "o1" with key "k1" through "cba-a-1"
-    And a seller sends offer "o1" with key "k1" through "cba-b-1"
+    And a seller sends offer "o1" with key "k1" through "cba-b-1", and repeats it as told after key_in_progress
     Then both answers are the same and offer "o1" ran 1 time
 
   Scenario: Another body under the same key is refused
