--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -309,6 +309,7 @@
                 "end": outcome.name,
                 "events": len(sample.events),
                 "versions": sample.versions,
+                "software_versions": sample.software_versions,
                 "next": next_action.name,
                 "took_s": round(now - run.created_at, 3),
                 "first_event_s": round(first_event_at - run.created_at, 3),
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -89,6 +89,12 @@
         """The weight versions of its events, in ascending order."""
         return distinct_versions(self.events)
 
+    @property
+    def software_versions(self) -> tuple[str, ...]:
+        """The software versions of its events; more than one is a fault."""
+        known = (event.software for event in self.events)
+        return tuple(sorted({s.version if s else "" for s in known}))
+
     @property
     def text(self) -> str:
         """The data of its events, one a line."""
