Test that no stream goes on by a guess after all instances were killed

What began a stream is known to the instances only, so none knows it then. The scenarios guard against going on by a guess: while two versions serve, after the old one has left, when a take-up names no request, an unknown one or another take-up, and for samples whose saved events another holder goes on from. They also keep what may go on going: with one instance left, and for streams that begin after the kill.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -18,8 +18,50 @@
       | an engine of each version is gone            | all         |
       | v1 has no engine left                        | some        |
       | all instances start again at once            | some        |
+      | all instances but c are killed               | all         |
       | c was cut off from the other instances       | some        |
 
+  # Nobody knows any more what began a stream, so each guess may be wrong, also
+  # when only one version is left.
+  Scenario Outline: no stream goes on by a guess, after <event>
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    And 24 streams of 60 events begin at a, and are cut after 10 events
+    When they are taken up at b and at c in turn, after <event>
+    Then no stream holds events of two software versions
+    And no stream goes on
+    And each refusal says that the request has not run
+    And a refusal takes at most 0.3 s
+
+    Examples:
+      | event                                   |
+      | all instances are killed                |
+      | all instances are killed while v1 leaves |
+
+  Scenario Outline: no stream goes on by a guess when its caller names <request>
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    And 24 streams of 60 events begin at a, and are cut after 10 events
+    When they are taken up at b and at c in turn, and name <request>
+    Then no stream holds events of two software versions
+    And no stream goes on
+    And each refusal says that the request has not run
+
+    Examples:
+      | request                         |
+      | no request                      |
+      | a request that nobody knows     |
+      | the first try that took them up |
+
+  Scenario: streams that begin after all instances were killed go on
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    When all instances are killed and start again
+    And 24 streams of 60 events begin at a, and are cut after 10 events
+    And they are taken up at b and at c in turn, after a is killed
+    Then no stream holds events of two software versions
+    And all of the 24 streams were whole at the end
+
   Scenario: a stream that begins at an instance that is cut off is not taken up by a guess
     Given instances a, b and c before 4 engines of 12 places
     And two of the engines have software version v1, and two v2
@@ -80,3 +122,5 @@
       | a is lost with engine t0, and b takes the job over |
       | a stops and hands the job over                     |
       | v1 has no engine left                              |
+      | all instances are killed, and b takes the job over |
+      | all instances are killed while v1 leaves, and b takes the job over |
--- a/features/software_versions_fleet.feature
+++ b/features/software_versions_fleet.feature
@@ -7,3 +7,22 @@
     When edge-0 is killed, and the streams are taken up at edge-1
     Then all 12 streams are whole, and none holds events of two versions
     And a stream that nobody knows is refused as not run by edge-1
+
+  Scenario: after a kill of all instances no stream goes on at a version by a guess
+    Given all instances are ready
+    And 12 streams of 300 events begin at edge-0, and each has brought 10 events
+    When all instances are killed at once and start again, and the streams are taken up at edge-1
+    Then each stream is refused as not run, and none holds events of two versions
+
+  Scenario: streams that begin after a kill of all instances go on
+    Given all instances are ready
+    And 12 streams of 150 events begin at edge-0, and each has brought 10 events
+    When edge-0 is killed, and the streams are taken up at edge-1
+    Then all 12 streams are whole, and none holds events of two versions
+
+  Scenario: after a kill of all instances no stream goes on at the version that is left
+    Given all instances are ready
+    And 12 streams of 300 events begin at edge-0, and each has brought 10 events
+    When the engines of v1 are killed at the same time
+    And all instances are killed at once and start again, and the streams are taken up at edge-1
+    Then each stream is refused as not run, and none holds events of two versions
--- a/features/steps/software_versions_fleet_steps.py
+++ b/features/steps/software_versions_fleet_steps.py
@@ -1,12 +1,15 @@
 """Steps on streams of two software versions, with processes."""
 
 import contextlib
+import itertools
+import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import msgspec
 from behave import given, then, when
 
+from bench.fleet import wait_for
 from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpStream, do_nothing
@@ -14,8 +17,12 @@
 
 LINE_TIMEOUT_S = 3.0
 STREAM_TIMEOUT_S = 10.0
+START_TIMEOUT_S = 20.0
 OK_STATUS = 200
 NOT_RUN_STATUS = 503
+FIRST_SOFTWARE = "v1"
+
+stream_numbers = itertools.count()
 
 
 class ProcessStream:
@@ -84,7 +91,9 @@
     "brought {read:d} events"
 )
 def begin(context: Any, count: int, events: int, name: str, read: int) -> None:
-    context.streams = [ProcessStream(f"s{n}", events) for n in range(count)]
+    context.streams = [
+        ProcessStream(f"s{next(stream_numbers)}", events) for _ in range(count)
+    ]
 
     # One by one, so that each is placed by the load of those before it.
     for stream in context.streams:
@@ -112,6 +121,75 @@
         list(executor.map(take_up, context.streams))
 
 
+@given("all instances are ready")
+def wait_ready(context: Any) -> None:
+    platform: PlatformFleet = context.platform
+    for name, instance in list(platform.instance_by_name.items()):
+        if not instance.process.running():
+            platform.start_instance(name)
+    platform.wait_ready()
+
+
+@when(
+    "all instances are killed at once and start again, and the streams are "
+    "taken up at {name}"
+)
+def kill_all_and_take_up(context: Any, name: str) -> None:
+    platform: PlatformFleet = context.platform
+    instances = list(platform.instance_by_name.values())
+    for instance in instances:
+        instance.process.send(signal.SIGKILL)
+    for instance in instances:
+        instance.process.kill()
+        platform.start_instance(instance.name)
+    platform.wait_ready()
+    # The refusals must not be those of an instance that knows no target yet.
+    wait_for(
+        lambda: begins_stream(platform, name),
+        START_TIMEOUT_S,
+        f"a new stream at {name}",
+    )
+
+    def take_up(stream: ProcessStream) -> None:
+        # A connection may also end between two chunks.
+        with contextlib.suppress(TargetError):
+            stream.read(None)
+        assert len(stream.numbers) < stream.events, "ended before the kill"
+        stream.open(platform, name)
+        stream.read(None)
+
+    with ThreadPoolExecutor(len(context.streams)) as executor:
+        list(executor.map(take_up, context.streams))
+
+
+def begins_stream(platform: PlatformFleet, name: str) -> bool:
+    """Returns whether a new stream begins at an instance."""
+    stream = ProcessStream(f"s{next(stream_numbers)}", 2)
+    try:
+        stream.open(platform, name)
+        stream.read(None)
+    except TargetError:
+        return False
+    return len(stream.numbers) == stream.events
+
+
+@when("the engines of v1 are killed at the same time")
+def kill_old_engines(context: Any) -> None:
+    platform: PlatformFleet = context.platform
+    for name in platform.software_by_target:
+        if platform.software_by_target[name] == FIRST_SOFTWARE:
+            platform.kill_target(name)
+
+
+@then(
+    "each stream is refused as not run, and none holds events of two versions"
+)
+def check_all_refused(context: Any) -> None:
+    for stream in context.streams:
+        assert len(stream.versions) == 1, (stream.request_id, stream.versions)
+        check_not_resumable(stream)
+
+
 @then("all {count:d} streams are whole, and none holds events of two versions")
 def check_streams(context: Any, count: int) -> None:
     assert len(context.streams) == count
@@ -130,8 +208,14 @@
     stream = ProcessStream("unknown", 20)
     stream.numbers = [1, 2]
     stream.open(context.platform, name)
+    stream.read(None)
+    check_not_resumable(stream)
+
+
+def check_not_resumable(stream: ProcessStream) -> None:
+    """Checks that a stream's latest request was refused."""
     assert stream.response is not None
     assert stream.response.status == NOT_RUN_STATUS, stream.response.status
-    body = msgspec.json.decode(stream.response.read())
+    body = msgspec.json.decode(stream.refusal)
     assert body["error"]["code"] == "stream_not_resumable", body
     assert body["error"]["ran"] == "no", body
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
 
@@ -10,6 +11,7 @@
 from features.platform_fakes import MODEL, SERVICE, MemoryFleet
 from features.steps.platform_calls_steps import route
 from features.steps.platform_jobs_steps import (
+    JOB,
     lose_holder,
     stop_holder,
     wait_for_results,
@@ -44,10 +46,12 @@
         events: The events that the caller has.
         refusals: The errors of refused tries, and how long each took.
         is_whole: Whether it ended after its last event.
+        resumes: The request that a later try names, if not the first one.
     """
 
     def __init__(self, request_id: str, last: int) -> None:
         self.request_id = request_id
+        self.resumes: str | None = None
         self.last = last
         self.events: list[StreamEvent] = []
         self.refusals: list[tuple[HibiscusError, float]] = []
@@ -89,6 +93,9 @@
         after = len(self.events)
         request_id = f"{self.request_id}-{self._tries}"
         headers = {"Last-Event-Id": str(after)} if after else {}
+        resumes = (
+            f"{self.request_id}-1" if self.resumes is None else self.resumes
+        )
         body = str(self.last).encode()
         now = monotonic()
         return ForwardedCall(
@@ -98,7 +105,7 @@
             now,
             now + DEADLINE_S,
             lambda: False,
-            resumes=f"{self.request_id}-1" if after else "",
+            resumes=resumes if after else "",
             resumed_after=after,
         )
 
@@ -176,29 +183,58 @@
     ]
 
 
+def kill_and_start(fleet: MemoryFleet, names: str) -> None:
+    """Kills instances at once, and starts them when all are gone."""
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.start(name, "2")
+
+
+def start_again_at_once(fleet: MemoryFleet) -> None:
+    fleet.peers.handlers_by_address.clear()
+    start_again(fleet, "abc")
+
+
+def start_again(fleet: MemoryFleet, names: str) -> None:
+    for name in names:
+        fleet.start(name, "2")
+
+
+def refuse_all(fleet: MemoryFleet) -> None:
+    for target in fleet.target_by_name.values():
+        target.fault = "full"
+
+
+def remove_version(fleet: MemoryFleet, version: str) -> None:
+    remove_engines(fleet, engines_of(fleet, version))
+
+
+def kill_all_while_leaving(fleet: MemoryFleet) -> None:
+    remove_version(fleet, "v1")
+    kill_and_start(fleet, "abc")
+
+
+CHANGE_BY_EVENT: dict[str, Callable[[MemoryFleet], None]] = {
+    "nothing else": lambda fleet: None,
+    "a is killed": lambda fleet: fleet.kill("a"),
+    "b starts again": lambda fleet: start_again(fleet, "b"),
+    "a, b and c start again in turn": lambda fleet: start_again(fleet, "abc"),
+    "all instances start again at once": start_again_at_once,
+    "all instances are killed": lambda fleet: kill_and_start(fleet, "abc"),
+    "all instances are killed while v1 leaves": kill_all_while_leaving,
+    "all instances but c are killed": lambda fleet: kill_and_start(fleet, "ab"),
+    "an engine of each version is gone": lambda fleet: remove_engines(
+        fleet, ["t0", "t1"]
+    ),
+    "v1 has no engine left": lambda fleet: remove_version(fleet, "v1"),
+    "c was cut off from the other instances": lambda fleet: cut_off(fleet, "c"),
+    "all engines refuse for 0.5 s": refuse_all,
+}
+
+
 def apply_event(fleet: MemoryFleet, event: str) -> None:
-    if event == "a is killed":
-        fleet.kill("a")
-    elif event == "b starts again":
-        fleet.start("b", "2")
-    elif event == "a, b and c start again in turn":
-        for name in "abc":
-            fleet.start(name, "2")
-    elif event == "all instances start again at once":
-        fleet.peers.handlers_by_address.clear()
-        for name in "abc":
-            fleet.start(name, "2")
-    elif event == "an engine of each version is gone":
-        remove_engines(fleet, ["t0", "t1"])
-    elif event == "v1 has no engine left":
-        remove_engines(fleet, engines_of(fleet, "v1"))
-    elif event == "c was cut off from the other instances":
-        cut_off(fleet, "c")
-    elif event.startswith("all engines refuse"):
-        for target in fleet.target_by_name.values():
-            target.fault = "full"
-    else:
-        assert event == "nothing else", event
+    CHANGE_BY_EVENT[event](fleet)
 
 
 @when("they are taken up at b and at c in turn, after {event}")
@@ -246,6 +282,46 @@
     read_all(context, "a", None)
 
 
+@when("all instances are killed and start again")
+def kill_all(context: Any) -> None:
+    kill_and_start(context.memory, "abc")
+
+
+@when(
+    "{count:d} streams of {events:d} events begin at a, and are cut after "
+    "{read:d} events"
+)
+def begin_later(context: Any, count: int, events: int, read: int) -> None:
+    begin_streams(context, count, events, read)
+
+
+@when("they are taken up at b and at c in turn, and name {request}")
+def take_up_by(context: Any, request: str) -> None:
+    for stream in context.streams:
+        if request == "no request":
+            stream.resumes = ""
+        elif request == "a request that nobody knows":
+            stream.resumes = "unknown"
+        else:
+            assert request == "the first try that took them up", request
+            stream.resumes = f"{stream.request_id}-2"
+    read_all(context, "b", EVENTS_PER_TRY)
+    read_all(context, "c", None)
+
+
+@then("no stream goes on")
+def check_none_goes_on(context: Any) -> None:
+    fleet: MemoryFleet = context.memory
+    went_on = [
+        (name, request_id)
+        for name, target in fleet.target_by_name.items()
+        for request_id, runs in target.runs.items()
+        if any(runs)
+    ]
+    assert not went_on, went_on
+    assert all(len(s.refusals) == 2 for s in context.streams)
+
+
 @then("no stream holds events of two software versions")
 def check_single(context: Any) -> None:
     mixed = [
@@ -295,6 +371,9 @@
         context.memory.exchange_by_name["b"].clear_samples(
             ["t0", "t2"], MODEL, 0.5
         )
+    elif event.startswith("all instances are killed"):
+        apply_event(fleet, event.partition(", and")[0])
+        assert fleet.jobs_by_name["b"].adopt(JOB)
     elif event.startswith("a is lost"):
         remove_engines(fleet, ["t0"])
         lose_holder(context)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -68,6 +68,7 @@
         self._proxied = proxied
         self._proxy_by_key: dict[str, Proxy] = {}
         self._target_names: set[str] = set()
+        self.software_by_target: dict[str, str] = {}
         self.store = self._fleet.standin("platform_store", "store")
         self._store_client = HttpClient(self.store)
 
@@ -152,6 +153,7 @@
             software: The version of the target's own software.
         """
         self._target_names.add(name)
+        self.software_by_target[name] = software
         flags = ["--name", name, "--service", service, "--zone", "cba-a"]
         flags += ["--store", str(self.store), "--model", model]
         flags += ["--version", str(version), "--software", software]
