Keep reads of results within the time of their clients on every path

One deadline now covers head, holder and store, and a holder that is followed by the store gets 0.4 s of silence and 0.8 s in all.

A peer that is still sending at the deadline, or that was not called since no time was left, is no longer taken for lost, and a caller with less time than a slow store needs no longer marks the path to it as failing.

'a silent holder leaves time to read the store' and 'a holder that is still sending is not taken for a lost one' guard the first and the last.

--- a/features/narrow_link.py
+++ b/features/narrow_link.py
@@ -20,6 +20,7 @@
     Attributes:
         address: Where clients connect.
         sent_bytes: How many bytes of responses have been sent.
+        is_silent: Whether no more bytes of responses are sent.
     """
 
     def __init__(self, server: Address, bytes_per_s: float) -> None:
@@ -27,6 +28,7 @@
         self._bytes_per_s = bytes_per_s
         self._lock = threading.Lock()
         self.sent_bytes = 0
+        self.is_silent = False
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname()[:2])
         threading.Thread(target=self._accept, daemon=True).start()
@@ -61,6 +63,8 @@
     ) -> None:
         with source, sink, contextlib.suppress(OSError):
             while data := source.recv(SEGMENT_BYTES):
+                if self.is_silent:
+                    continue
                 # Connections take turns at the lock, as packets at a link.
                 with self._lock:
                     time.sleep(len(data) / self._bytes_per_s)
--- a/features/result_reads.feature
+++ b/features/result_reads.feature
@@ -27,6 +27,18 @@
     When its client leaves 0.2 s after it began to read at b
     Then the read ends within 0.5 s, and the link of a carries little more
 
+  Scenario: a silent holder leaves time to read the store
+    Given 2 jobs of a that its link carries in 0.3 s
+    And b and c know who holds them
+    And a answers no calls, and b believes that the store is out of reach
+    Then b reads all of them within 1 s
+
+  Scenario: a holder that is still sending is not taken for a lost one
+    Given 1 job of a that its link carries in 3 s
+    And b and c know who holds them
+    Then b reads all of them within 1.3 s
+    And the holder is not suspected
+
   Scenario Outline: the order in which ended results are read
     When a holder <answers> and the store is <store>
     Then ended results are read from <order>
@@ -39,14 +51,15 @@
       | does not answer | out of reach | store         |
 
   Scenario Outline: what a holder sends of a job
-    When a reader asks for <size> bytes of a job that <state>
+    When a reader asks for <size> bytes of a job that <state>, and the store is <store>
     Then the holder <does>
 
     Examples:
-      | size   | state      | does                |
-      | 900000 | is open    | sends them          |
-      | 20000  | has ended  | sends them          |
-      | 900000 | has ended  | refers to the store |
+      | size   | state      | store        | does                |
+      | 900000 | is open    | reachable    | sends them          |
+      | 20000  | has ended  | reachable    | sends them          |
+      | 900000 | has ended  | reachable    | refers to the store |
+      | 900000 | has ended  | out of reach | sends them          |
 
   Scenario: an ended job that was deleted is not found
     Given 1 job of a that its link carries in 3 s
--- a/features/steps/result_reads_steps.py
+++ b/features/steps/result_reads_steps.py
@@ -188,6 +188,21 @@
     assert sent_bytes < context.size_bytes / 10, sent_bytes
 
 
+@given("a answers no calls, and b believes that the store is out of reach")
+def silence_holder(context: Any) -> None:
+    context.link.is_silent = True
+    context.memory.jobs_by_name["b"]._reader._store_is_reachable = lambda: False
+
+
+@then("b reads all of them within {limit:g} s")
+def check_reads_at_b(context: Any, limit: float) -> None:
+    for job in context.job_ids:
+        started = monotonic()
+        results = context.memory.jobs_by_name["b"].results(job, 0, 0.0)
+        assert len(results.results) == PUBLISHED_ITEMS
+        assert monotonic() - started <= limit
+
+
 @when("its client leaves {seconds:g} s after it began to read at b")
 def leave_read(context: Any, seconds: float) -> None:
     started = monotonic()
@@ -222,6 +237,13 @@
         store.delete(job, monotonic() + DEADLINE_S)
 
 
+@then("the holder is not suspected")
+def check_not_suspected(context: Any) -> None:
+    reader = context.memory.jobs_by_name["b"]._reader
+    address = str(context.link.address)
+    assert not reader._peers._client.is_suspect(address)
+
+
 @then("b finds none of them")
 def check_not_found(context: Any) -> None:
     for job in context.job_ids:
@@ -245,9 +267,14 @@
     assert ", ".join(context.sources) == order, context.sources
 
 
-@when("a reader asks for {size:d} bytes of a job that {state}")
-def ask_for_results(context: Any, size: int, state: str) -> None:
-    context.sends = result_reads.sends_results(state == "has ended", size)
+@when(
+    "a reader asks for {size:d} bytes of a job that {state}, and the store is "
+    "{store}"
+)
+def ask_for_results(context: Any, size: int, state: str, store: str) -> None:
+    context.sends = result_reads.sends_results(
+        state == "has ended", size, store == "reachable"
+    )
 
 
 @then("the holder {does}")
--- a/hibiscuspin/decisions/result_reads.py
+++ b/hibiscuspin/decisions/result_reads.py
@@ -44,7 +44,9 @@
     return ResultSource.HOLDER, ResultSource.STORE
 
 
-def sends_results(has_ended: bool, size_bytes: int) -> bool:
+def sends_results(
+    has_ended: bool, size_bytes: int, store_is_reachable: bool
+) -> bool:
     """Returns whether a holder sends results rather than refer to the store.
 
     A trainer ends its job when it has read what it waits for, so no reader of
@@ -53,5 +55,8 @@
     Args:
         has_ended: Whether the job has ended.
         size_bytes: The size of the results that a reader asks for.
+        store_is_reachable: Whether the holder's last direct call to the store
+            succeeded.
     """
-    return not has_ended or size_bytes < MIN_BULK_BYTES
+    is_bulk = size_bytes >= MIN_BULK_BYTES
+    return not (has_ended and is_bulk and store_is_reachable)
--- a/hibiscuspin/peers/rpc.py
+++ b/hibiscuspin/peers/rpc.py
@@ -74,6 +74,8 @@
             PeerUnreachableError: No complete response arrived in time.
             HibiscusError: The other instance responded with an error.
         """
+        if timeout_s <= 0:
+            raise PeerUnreachableError(f"{address}: no time is left to call it")
         deadline = self._clock.monotonic() + timeout_s
         try:
             response = self._get_client(address).request(
@@ -85,8 +87,10 @@
                 check=check,
             )
         except TargetError as error:
-            suspect_until = self._clock.monotonic() + SUSPECT_S
-            self._suspect_until_by_address[address] = suspect_until
+            now = self._clock.monotonic()
+            # With a limit on silence, bytes came until the deadline.
+            if stall_s is None or now < deadline:
+                self._suspect_until_by_address[address] = now + SUSPECT_S
             raise PeerUnreachableError(f"{address}: {error}") from error
         self._suspect_until_by_address.pop(address, None)
         if response.status == 200:
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -82,6 +82,9 @@
 # responds within 20 ms.
 HOLDS_QUERY_TIMEOUT_S = 0.3
 STORE_TIMEOUT_S = 1.2
+# Readers wait 1.5 s longer than the `wait_s` they send; the rest of that time
+# is for the response to them.
+READ_SLACK_S = 1.3
 # How often an instance that reaches no target offers its jobs to others.
 EVACUATION_PERIOD_S = 1.5
 END_TIMEOUT_S = 2.0
@@ -127,6 +130,7 @@
         self._instances = instances
         self._peers = peers
         self._clock: Clock = dependencies.clock
+        self._store_is_reachable = store_is_reachable
         self._reader = ResultReader(
             dependencies.store, peers, dependencies.clock, store_is_reachable
         )
@@ -381,17 +385,30 @@
                 left.
         """
         request = ResultsRequest(job, after, wait_s)
+        waited_until = self._clock.monotonic() + wait_s
         local = self._job_by_id.get(job)
         if local is not None:
             _check_access(job, local.stored.head, requester)
             found = self._local_results(request)
             if found is not None:
                 return found
-        stored = self._permitted_head(job, requester)
-        holder = self._remote_holder(stored.head)
-        results = self._reader.read(request, stored, holder, client_left)
-        if results.source is ResultSource.STORE and not stored.head["ended"]:
-            self._head_by_id.pop(job, None)
+            wait_s = max(0.0, waited_until - self._clock.monotonic())
+            request = request._replace(wait_s=wait_s)
+        deadline = waited_until + READ_SLACK_S
+        stored = self._permitted_head(job, requester, deadline)
+        is_current = stored.head["ended"]
+        try:
+            results = self._reader.read(
+                request,
+                stored,
+                self._remote_holder(stored.head),
+                deadline,
+                client_left,
+            )
+            is_current |= results.source is ResultSource.HOLDER
+        finally:
+            if not is_current:
+                self._head_by_id.pop(job, None)
         return results
 
     def _local_results(self, request: ResultsRequest) -> JobResults | None:
@@ -761,10 +778,12 @@
             local.stop()
         self._control_threads.shutdown()
 
-    def _permitted_head(self, job: str, requester: Requester) -> StoredHead:
+    def _permitted_head(
+        self, job: str, requester: Requester, deadline: float | None = None
+    ) -> StoredHead:
         """Returns the head of a job that the requester may use."""
         try:
-            stored = self._head(job)
+            stored = self._head(job, deadline)
         except HibiscusError as error:
             # Without a key nobody learns which jobs exist.
             if error.kind is ErrorKind.NOT_FOUND and requester.lacks_key:
@@ -773,7 +792,7 @@
         _check_access(job, stored.head, requester)
         return stored
 
-    def _head(self, job: str) -> StoredHead:
+    def _head(self, job: str, deadline: float | None = None) -> StoredHead:
         """Returns a job's head, cached until its holder fails to respond.
 
         A stale entry does no harm: a replaced holder responds `NOT_HOLDER`.
@@ -781,9 +800,10 @@
         cached = self._head_by_id.get(job)
         if cached is not None:
             return cached
-        deadline = self._clock.monotonic() + STORE_TIMEOUT_S
+        latest = self._clock.monotonic() + STORE_TIMEOUT_S
+        end = latest if deadline is None else min(deadline, latest)
         try:
-            stored = self._store.head(job, deadline)
+            stored = self._store.head(job, end)
         except StoreError as error:
             raise _store_unavailable(error) from error
         if stored is None:
@@ -811,7 +831,9 @@
         results = self._results_for_peer(request)
         local = self._job_by_id.get(request.job)
         ended = local is not None and local.stored.head["ended"]
-        if not result_reads.sends_results(ended, results.size_bytes):
+        if not result_reads.sends_results(
+            ended, results.size_bytes, self._store_is_reachable()
+        ):
             raise _not_holder(request.job)
         return _encode_results(results)
 
--- a/hibiscuspin/tasks/result_reads.py
+++ b/hibiscuspin/tasks/result_reads.py
@@ -29,13 +29,10 @@
 # Builds without the method respond that it is not found.
 ENDED_RESULTS_METHOD = "jobs.ended-results"
 
-# Readers wait 1.5 s longer than the `wait_s` they send; the rest of that time
-# is for the response to them.
-READ_SLACK_S = 1.3
-# If the holder has not responded within this slack, the store is read in the
-# rest of the reader's time.
-RESPONSE_SLACK_S = 0.4
-TRANSFER_SLACK_S = 0.8
+# If the holder is silent for this long after the wait, or has not sent all in
+# the second time, the store is read in the rest of the reader's time.
+HOLDER_STALL_S = 0.4
+HOLDER_TRANSFER_S = 0.8
 # Leaves time to ask the holder after the store.
 FIRST_STORE_READ_S = 0.7
 # Responses to readers are limited to 1 MB; JSON escaping adds little to the
@@ -72,8 +69,15 @@
     wait_s: float
 
 
+class _Limits(NamedTuple):
+    """Limits on a call to the holder; the deadline is for all of it."""
+
+    deadline: float
+    stall_s: float
+
+
 class _Read(NamedTuple):
-    """One read; its client stops waiting at `deadline`."""
+    """One read, and when its client has to have the response."""
 
     request: ResultsRequest
     deadline: float
@@ -106,6 +110,7 @@
         request: ResultsRequest,
         stored: StoredHead,
         holder: LiveInstance | None,
+        deadline: float,
         client_left: Callable[[], bool],
     ) -> JobResults:
         """Reads results from an index on.
@@ -115,6 +120,8 @@
             stored: The job's head; an old one does no harm.
             holder: The instance that holds the job by this head, if it is
                 another live one.
+            deadline: When the client has to have the response, in monotonic
+                time.
             client_left: Returns whether the caller has disconnected.
 
         Raises:
@@ -122,13 +129,14 @@
                 `STORE_UNAVAILABLE` if neither the holder nor the store
                 responded, `CANCELLED` if the caller has disconnected.
         """
-        deadline = self._clock.monotonic() + request.wait_s + READ_SLACK_S
         read = _Read(request, deadline, client_left)
         if stored.head["ended"]:
             return self._read_ended(read, stored, holder)
         if holder is not None:
             try:
-                return self._ask_holder(holder, read)
+                return self._call_holder(
+                    holder, RESULTS_METHOD, read, self._first_limits(read)
+                )
             except PeerUnreachableError:
                 holder = None
             except HibiscusError as error:
@@ -152,13 +160,22 @@
         failure = HibiscusError(
             ErrorKind.STORE_UNAVAILABLE, "No results could be read."
         )
-        for source in result_reads.sources(
+        sources = result_reads.sources(
             holder is not None, self._store_is_reachable()
-        ):
+        )
+        for source in sources:
             read.check()
             try:
                 if source is ResultSource.HOLDER and holder is not None:
-                    return self._ask_holder_for_ended(holder, read)
+                    remaining_s = read.deadline - self._clock.monotonic()
+                    is_last = source is sources[-1]
+                    return self._ask_holder_for_ended(
+                        holder,
+                        read,
+                        _Limits(read.deadline, remaining_s)
+                        if is_last
+                        else self._first_limits(read),
+                    )
                 return self._read_store(read, stored, holder is not None)
             except PeerUnreachableError:
                 continue
@@ -173,46 +190,39 @@
                     raise
         raise failure
 
-    def _ask_holder(self, holder: LiveInstance, read: _Read) -> JobResults:
-        wait_s = read.request.wait_s
-        return self._call_holder(
-            holder,
-            RESULTS_METHOD,
-            read,
-            wait_s + TRANSFER_SLACK_S,
-            wait_s + RESPONSE_SLACK_S,
+    def _first_limits(self, read: _Read) -> _Limits:
+        """Returns the limits of a call that leaves time to read the store."""
+        waited_until = self._clock.monotonic() + read.request.wait_s
+        return _Limits(
+            min(read.deadline, waited_until + HOLDER_TRANSFER_S),
+            read.request.wait_s + HOLDER_STALL_S,
         )
 
     def _ask_holder_for_ended(
-        self, holder: LiveInstance, read: _Read
+        self, holder: LiveInstance, read: _Read, limits: _Limits
     ) -> JobResults:
-        remaining_s = max(0.0, read.deadline - self._clock.monotonic())
         try:
-            return self._call_holder(
-                holder, ENDED_RESULTS_METHOD, read, remaining_s, remaining_s
-            )
+            return self._call_holder(holder, ENDED_RESULTS_METHOD, read, limits)
         except HibiscusError as error:
             if error.kind is not ErrorKind.NOT_FOUND:
                 raise
-        return self._call_holder(
-            holder, RESULTS_METHOD, read, remaining_s, remaining_s
-        )
+        return self._call_holder(holder, RESULTS_METHOD, read, limits)
 
     def _call_holder(
         self,
         holder: LiveInstance,
         method: str,
         read: _Read,
-        timeout_s: float,
-        stall_s: float,
+        limits: _Limits,
     ) -> JobResults:
+        timeout_s = limits.deadline - self._clock.monotonic()
         try:
             body = self._peers.call(
                 holder.address,
                 method,
                 msgspec.msgpack.encode(read.request),
                 timeout_s,
-                stall_s=stall_s,
+                stall_s=limits.stall_s,
                 check=read.check,
             )
         except (PeerUnreachableError, HibiscusError) as error:
--- a/hibiscuspin/tasks/store_path.py
+++ b/hibiscuspin/tasks/store_path.py
@@ -131,19 +131,23 @@
                 failed.
         """
         now = self._clock.monotonic()
+        stall_s = store_paths.direct_timeout_s(self._path)
         try:
             response = self._client.request(
                 call.method,
                 call.target,
                 deadline,
                 body=call.body or None,
-                stall_s=store_paths.direct_timeout_s(self._path),
+                stall_s=stall_s,
             )
         except TargetError as error:
             if error.silent:
                 self._client.close_idle()
             self._count(call, "failed")
-            self._record(False, now, str(error))
+            # A caller that has less time than a slow store needs says nothing
+            # about the path.
+            if not (error.silent and deadline < now + stall_s):
+                self._record(False, now, str(error))
             applied = None if error.sent else False
             raise StoreError(str(error), applied) from error
         self._count(call, str(response.status))
