Collect the records of others only when they have registered again

After an outage of the store that ended all registrations, the first instance to register took the duty, collected the records of nobody, since it knew no other instance yet, and fixed the counts of the windows that had ended. The requests that others knew came late and were never counted. A new holder now waits 1 s, collects, and fixes no counts before; reports that are recorded already are sent as before.

--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -31,6 +31,7 @@
 SECONDS = st.sampled_from([0.4, 1.0, 3.0, 7.0, 12.0])
 NAMES = st.sampled_from("abc")
 RECENT_RESPONSES = 8
+OUTAGE_HISTORIES = 8
 ERRORS = {
     "refused": TargetError("refused", sent=True, refused=True),
     "unsent": TargetError("no connection", sent=False),
@@ -308,3 +309,42 @@
     assert last >= model.now // WINDOW_S - 2, last
     assert list(reported) == list(range(min(reported), last + 1)), reported
     assert not model.broken
+
+
+@then(
+    "requests before and in an outage of {seconds:g} s are reported, whoever "
+    "counts"
+)
+def check_outage(context: Any, seconds: float) -> None:
+    wrong = [
+        (seed, window, reported, true)
+        for seed in range(OUTAGE_HISTORIES)
+        for window, reported, true in _play_outage(seed, seconds)
+    ]
+    assert not wrong, wrong
+
+
+def _play_outage(
+    seed: int, seconds: float
+) -> list[tuple[int, dict[str, int] | None, dict[str, int]]]:
+    """Returns the windows with requests that were not reported truly."""
+    model = UsageModel()
+    rng = random.Random(seed)
+    model.advance(8.0 + rng.choice([0.0, 1.0, 2.0, 3.0, 4.0]))
+    for name in "abc":
+        model.request(name, "o")
+    model.store.down = True
+    model.advance(seconds / 2)
+    for name in "abc":
+        model.request(name, "p")
+    model.advance(seconds / 2)
+    model.store.down = False
+    model.advance(20.0)
+    model.close()
+    assert not model.broken, model.broken
+    reported = model.rules.counts_by_window
+    return [
+        (window, reported.get(window), dict(counts))
+        for window, counts in model.true_counts.items()
+        if reported.get(window) != dict(counts)
+    ]
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -48,3 +48,6 @@
   Scenario: reports stay exact through kills, freezes, lost answers, outages and clock steps
     Then the rules on holders hold in random histories
     And a quiet history reports every window with its true counts
+
+  Scenario: counts of a window that ended in an outage include what others know
+    Then requests before and in an outage of 7 s are reported, whoever counts
--- a/hibiscuspin/tasks/usage/reporter.py
+++ b/hibiscuspin/tasks/usage/reporter.py
@@ -36,6 +36,10 @@
 STORE_TIMEOUT_S = 1.6
 STORE_RETRY_S = 0.5
 CALL_TIMEOUT_S = 1.5
+# How long a new holder waits until it collects the records of others. After an
+# outage of the store that ended all registrations, others register again
+# within 0.7 s.
+COLLECT_DELAY_S = 1.0
 
 _log = get_logger("usage")
 
@@ -59,10 +63,15 @@
         own: The windows that this holder recorded, or tried to.
         done: The windows that need no further call.
         retry_by_window: The reports whose last call failed.
+        collect_at: When the records of others are collected, in monotonic
+            time; no counts are fixed before.
+        is_collected: Whether the records of others were collected.
     """
 
-    def __init__(self, term: Term) -> None:
+    def __init__(self, term: Term, collect_at: float) -> None:
         self.term = term
+        self.collect_at = collect_at
+        self.is_collected = False
         self.reports: list[WindowReport] = []
         self.revision = 0
         self.is_read = False
@@ -143,12 +152,21 @@
             return
         session = self._session
         if session is None or session.term != term:
-            session = self._session = _Session(term)
-            self._collector.collect()
+            collect_at = self._clock.monotonic() + COLLECT_DELAY_S
+            session = self._session = _Session(term, collect_at)
+        self._collect(session)
         self._update_store(session)
         if self._clock.monotonic() >= term.orders_from:
             self._send_next(session)
 
+    def _collect(self, session: _Session) -> None:
+        if session.is_collected or (
+            self._clock.monotonic() < session.collect_at
+        ):
+            return
+        self._collector.collect()
+        session.is_collected = True
+
     def _update_store(self, session: _Session) -> None:
         """Reads what is recorded, and records the windows that are due."""
         if self._clock.monotonic() < session.store_at:
@@ -156,7 +174,8 @@
         try:
             if not session.is_read:
                 self._read(session)
-            self._record_due(session, self._started_in or 0)
+            if session.is_collected:
+                self._record_due(session, self._started_in or 0)
         except StoreError as error:
             # A write whose response was lost may have taken effect.
             session.is_read = False
