--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -88,10 +88,24 @@
 class Process:
     """A child process whose output goes to a log file."""
 
-    def __init__(self, name: str, argv: Sequence[str], folder: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        argv: Sequence[str],
+        folder: str,
+        root: pathlib.Path = ROOT,
+    ) -> None:
+        """Starts the process.
+
+        Args:
+            name: The process's name.
+            argv: The arguments of the interpreter.
+            folder: The folder of the log file.
+            root: The folder whose packages it runs.
+        """
         self.name = name
         self.log_path = pathlib.Path(folder) / f"{name}.log"
-        environ = {**os.environ, "PYTHONPATH": str(ROOT)}
+        environ = {**os.environ, "PYTHONPATH": str(root)}
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, *argv],
@@ -99,7 +113,7 @@
                 stdout=log,
                 stdin=subprocess.DEVNULL,
                 env=environ,
-                cwd=ROOT,
+                cwd=root,
             )
 
     @property
@@ -414,9 +428,11 @@
                     f"start of {instance.name}'s {kind} interface",
                 )
 
-    def spawn(self, name: str, argv: Sequence[str]) -> Process:
+    def spawn(
+        self, name: str, argv: Sequence[str], root: pathlib.Path = ROOT
+    ) -> Process:
         """Starts a Python process that is stopped with the fleet."""
-        process = Process(name, argv, self._folder)
+        process = Process(name, argv, self._folder, root)
         self._processes.append(process)
         return process
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -11,12 +11,13 @@
 import msgspec
 import yaml
 
-from bench.fleet import Fleet, Process, free_address, wait_for
+from bench.fleet import ROOT, Fleet, Process, free_address, wait_for
 from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.http import HttpClient, HttpResponse, HttpStream
 from hibiscuspin.settings import Address
 from soak.proxy import Proxy
+from standins.builds import unpack_build
 
 __all__ = [
     "HOST",
@@ -115,6 +116,17 @@
             return False
         return True
 
+    def read_key(self, key: str) -> bytes | None:
+        """Reads a key from the store; None if it does not exist."""
+        path = f"/hibiscuspin/kv-range?prefix={key}"
+        response = self._store_client.request(
+            "GET", path, monotonic() + CALL_TIMEOUT_S
+        )
+        for item in msgspec.json.decode(response.body)["items"]:
+            if item["key"] == key:
+                return base64.b64decode(item["value"])
+        return None
+
     def put_key(self, key: str, value: object) -> None:
         """Writes a key to the store, as an operator does."""
         encoded = base64.b64encode(msgspec.json.encode(value)).decode()
@@ -234,11 +246,18 @@
         )
         return self._config_version
 
-    def start_instance(self, name: str) -> PlatformInstance:
-        """Starts an instance; one that ran before gets its old addresses."""
+    def start_instance(self, name: str, commit: str = "") -> PlatformInstance:
+        """Starts an instance; one that ran before gets its old addresses.
+
+        Args:
+            name: The instance's name.
+            commit: The commit whose build it runs; empty for the working
+                tree.
+        """
+        root = unpack_build(commit, self._folder) if commit else ROOT
         path = self._folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self._boot_settings(name)))
-        process = self._spawn(name, path)
+        process = self._spawn(name, path, root)
         instance = PlatformInstance(
             name,
             process,
@@ -249,7 +268,9 @@
         self.instance_by_name[name] = instance
         return instance
 
-    def _spawn(self, name: str, path: pathlib.Path) -> Process:
+    def _spawn(
+        self, name: str, path: pathlib.Path, root: pathlib.Path
+    ) -> Process:
         environ = {
             "HIBISCUSPIN_BOOT": str(path),
             "HIBISCUSPIN_METRICS_PORT": str(self.metrics_address(name).port),
@@ -257,7 +278,7 @@
         os.environ.update(environ)
         try:
             argv = ["-m", "hibiscuspin.platform"]
-            return self._fleet.spawn(name, argv)
+            return self._fleet.spawn(name, argv, root)
         finally:
             for variable in environ:
                 del os.environ[variable]
