--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -15,7 +15,9 @@
     ProcessStream,
     add_engines,
 )
+from hibiscuspin.clock import monotonic
 from hibiscuspin.edges import TargetError
+from hibiscuspin.peers.rpc import SUSPECT_S
 
 WORKING_TREE = ""
 GROUPS, GROUP_SIZE, EVENTS = 3, 4, 150
@@ -43,13 +45,17 @@
     """Replaces the instances that don't run the named builds."""
     platform = fleet(context)
     running = getattr(context.feature, "commit_by_name", {})
+    killed_at = float("-inf")
     for name, commit in commit_by_name.items():
         process = platform.instance_by_name[name].process
         if running.get(name) != commit or not process.running():
             process.kill()
+            killed_at = monotonic()
             start(context, name, commit)
     platform.wait_ready()
     platform.wait_registered()
+    # Until then others may hand no job to an instance that was just killed.
+    time.sleep(max(0.0, killed_at + SUSPECT_S - monotonic()))
     context.rows_before, context.jobs = [], []
 
 
