Refuse jobs of organisations while a live instance can't read them

An instance from before organisations can't decode such a job and would drop the organisation from the job's head. Instances announce the formats that they read in a key beside their registration, whose array must not grow: older builds ignore a longer one.

The registration test counts both keys of each instance.

--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -98,7 +98,8 @@
         for value in context.store.scan(LIVE_PREFIX, 0.0).values
         if value.revision < holder(context).term().fencing
     }
-    assert len(old) == len(context.instances), old
+    # A registration and the announced formats of each.
+    assert len(old) == 2 * len(context.instances), old
     holder(context).on_values(old)
 
 
--- a/hibiscuspin/errors.py
+++ b/hibiscuspin/errors.py
@@ -65,6 +65,7 @@
     SPEND_EXHAUSTED = "spend_exhausted"
     STOPPING = "stopping"
     CANCELLED = "cancelled"
+    UPGRADE_IN_PROGRESS = "upgrade_in_progress"
     INTERNAL = "internal"
 
 
@@ -119,6 +120,7 @@
     ErrorKind.SPEND_EXHAUSTED: ErrorResponse(429, _NO, 60),
     ErrorKind.STOPPING: ErrorResponse(503, _NO, 1),
     ErrorKind.CANCELLED: ErrorResponse(499, _UNKNOWN),
+    ErrorKind.UPGRADE_IN_PROGRESS: ErrorResponse(503, _NO, 2),
     ErrorKind.INTERNAL: ErrorResponse(500, _UNKNOWN),
 }
 
--- a/hibiscuspin/guides/errors.py
+++ b/hibiscuspin/guides/errors.py
@@ -195,6 +195,12 @@
         _RETRY_LATER,
         "Run `hibiscuspin doctor`; apply a configuration if there is none.",
     ),
+    ErrorKind.UPGRADE_IN_PROGRESS: Guide(
+        "A live instance runs an earlier build that can't decode what this "
+        "request would store.",
+        _RETRY_LATER,
+        "Finish the upgrade, or remove `tenants` until it is finished.",
+    ),
     ErrorKind.CONFIG_INVALID: Guide(
         "The configuration violates its schema or refers to undeclared names. "
         "No part of it is applied.",
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -40,9 +40,10 @@
 from hibiscuspin.tasks.instances import LIVE_PREFIX, Instances
 from hibiscuspin.tasks.job_recovery import JobRecovery
 from hibiscuspin.tasks.job_store import JobStore
-from hibiscuspin.tasks.jobs import Jobs
+from hibiscuspin.tasks.jobs import ACCEPT_METHOD, Jobs
 from hibiscuspin.tasks.limit_shares import LimitShares
 from hibiscuspin.tasks.local_job import JobDependencies
+from hibiscuspin.tasks.peer_formats import PeerFormats
 from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
 from hibiscuspin.tasks.relay_feed import RelayFeed
@@ -175,6 +176,9 @@
             ),
             self._instances,
             self._peers,
+            PeerFormats(
+                self._instances, self._peers, self._clock, ACCEPT_METHOD
+            ),
         )
         self._exchange = TargetExchange(
             self._targets,
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -9,7 +9,7 @@
 import random
 import threading
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import msgspec
 
@@ -23,6 +23,7 @@
     is_term_over,
     orders_from,
 )
+from hibiscuspin.decisions.formats import OWN_FORMATS, Announcement
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.registration import IDLE_LEASE, LeasePlan
 from hibiscuspin.edges import StoreError
@@ -40,6 +41,9 @@
 
 LIVE_PREFIX = "hibiscuspin/live/"
 _INSTANCE_PREFIX = LIVE_PREFIX + "instances/"
+# Apart from the registration, whose readers in earlier builds reject a longer
+# array and would take the instance for lost.
+_FORMATS_PREFIX = LIVE_PREFIX + "formats/"
 _DUTY_KEY = LIVE_PREFIX + "coordinator"
 # Outlives the duty key, so that the next holder knows whether another instance
 # had the duty; if so, the next holder waits before its first order.
@@ -152,6 +156,7 @@
         self._registration = _Registration()
         self._members_by_name: dict[str, LiveInstance] = {}
         self._known_by_name: dict[str, LiveInstance] = {}
+        self._announcement_by_name: dict[str, Announcement] = {}
         self._duty: StoredValue | None = None
         # Infinity until the duty is known to be free.
         self._duty_free_since = float("inf")
@@ -203,6 +208,10 @@
         """Returns the last known live instances by name."""
         return dict(self._members_by_name)
 
+    def announcements(self) -> dict[str, Announcement]:
+        """Returns which formats instances have announced, by name."""
+        return dict(self._announcement_by_name)
+
     def last_known(self, name: str) -> LiveInstance | None:
         """Returns an instance's last registration, even if it is gone."""
         return self._known_by_name.get(name)
@@ -269,6 +278,9 @@
                 "Instance disappeared from the store's registrations.",
                 extra={"peer": name},
             )
+        # Before the members, so that one that has just registered is not taken
+        # for an instance that announces nothing.
+        self._announcement_by_name = _decode_announcements(values_by_key)
         self._members_by_name = members
         self._known_by_name.update(members)
         duty = values_by_key.get(_DUTY_KEY)
@@ -406,12 +418,19 @@
         requested_at = self._clock.monotonic()
         lease = self._store.grant_lease(plan.ttl_s, self._deadline()).lease
         self._own_leases.add(lease)
-        put = PutOperation(
-            _INSTANCE_PREFIX + self.member.name,
-            msgspec.json.encode(self.member),
-            lease,
+        name = self.member.name
+        announcement = Announcement(self.member.term, frozenset(OWN_FORMATS))
+        puts = (
+            PutOperation(
+                _INSTANCE_PREFIX + name, msgspec.json.encode(self.member), lease
+            ),
+            PutOperation(
+                _FORMATS_PREFIX + name,
+                msgspec.json.encode(announcement._asdict()),
+                lease,
+            ),
         )
-        self._store.commit(Transaction({}, (put,)), self._deadline())
+        self._store.commit(Transaction({}, puts), self._deadline())
         self._registration = _Registration(lease, plan, requested_at)
         _log.info(
             "This instance has registered in the store.",
@@ -505,6 +524,35 @@
         self._term = None
 
 
+class _StoredAnnouncement(TypedDict):
+    """An announcement as it is stored; later builds may add keys."""
+
+    term: str
+    formats: list[str]
+
+
+def _decode_announcements(
+    values_by_key: Mapping[str, StoredValue],
+) -> dict[str, Announcement]:
+    """Decodes the announced formats by instance; ignores invalid values."""
+    found = {}
+    for key, value in values_by_key.items():
+        if not key.startswith(_FORMATS_PREFIX):
+            continue
+        try:
+            stored = msgspec.json.decode(value.value, type=_StoredAnnouncement)
+        except msgspec.DecodeError as error:
+            _log.warning(
+                "Ignoring an invalid announcement of formats.",
+                extra={"key": key, "reason": str(error)},
+            )
+            continue
+        found[key.removeprefix(_FORMATS_PREFIX)] = Announcement(
+            stored["term"], frozenset(stored["formats"])
+        )
+    return found
+
+
 def _decode_member(key: str, value: StoredValue) -> LiveInstance | None:
     """Decodes a registration; returns None for other and invalid values."""
     if not key.startswith(_INSTANCE_PREFIX):
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -161,6 +161,9 @@
                 jobs_by_holder[job.holder] = (
                     jobs_by_holder.get(job.holder, 0) + 1
                 )
+        organisation_by_job = {
+            job.job: stored.head.get("organisation", "") for job, stored in rows
+        }
         orphans = recovery.orphaned_jobs(jobs, members)
         since_by_job = {
             orphan.job: self._orphan_since_by_job.get(orphan.job, now)
@@ -172,7 +175,10 @@
             holder = self._instances.last_known(orphan.holder)
             since = since_by_job[orphan.job]
             if not recovery.may_reclaim(orphan, holder, since, now):
-                self._reassign(orphan, members, jobs_by_holder)
+                able = self._jobs.able_holders(
+                    organisation_by_job[orphan.job], members
+                )
+                self._reassign(orphan, able, jobs_by_holder)
         wall = self._clock.wall()
         for job in recovery.expired_jobs(jobs, self._retention_s, wall):
             self._store.delete(job.job, now + STORE_TIMEOUT_S)
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -44,6 +44,7 @@
     trim_default,
 )
 from hibiscuspin.tasks.local_job import JobDependencies, LocalJob
+from hibiscuspin.tasks.peer_formats import PeerFormats
 
 __all__ = ["Jobs", "JobResults", "ResultSource"]
 
@@ -143,7 +144,17 @@
         dependencies: JobDependencies,
         instances: Instances,
         peers: PeerHttpClient,
+        formats: PeerFormats | None = None,
     ) -> None:
+        """Creates the object.
+
+        Args:
+            dependencies: What all jobs share.
+            instances: The live instances.
+            peers: Makes the calls to them.
+            formats: Which of them read jobs of organisations; None for all.
+        """
+        self._formats = formats
         self._dependencies = dependencies
         self._store = dependencies.store
         self._reach = dependencies.targets.reach
@@ -194,6 +205,10 @@
         if local is not None:
             _check_access(contents.job, local.stored.head, requester)
             return
+        if self._must_wait_for_upgrade(contents):
+            # It may have been accepted before an older build came back.
+            self._check_exists(contents.job, requester)
+            return
         accepted: bool | None = False
         for holder in self._holders_to_ask(contents.model):
             accepted = self._request_acceptance(holder, contents, requester)
@@ -204,6 +219,44 @@
         stored = self._accept(contents, route, deadline, applied=accepted)
         _check_access(contents.job, stored.head, requester)
 
+    def _must_wait_for_upgrade(self, contents: JobContents) -> bool:
+        return (
+            bool(contents.organisation)
+            and self._formats is not None
+            and not self._formats.may_name_organisation()
+        )
+
+    def _check_exists(self, job: str, requester: Requester) -> None:
+        """Checks that a job exists which the requester may use.
+
+        Raises:
+            HibiscusError: `UPGRADE_IN_PROGRESS` if there is no such job.
+        """
+        try:
+            stored = self._head(job)
+        except HibiscusError as error:
+            if error.kind is not ErrorKind.NOT_FOUND:
+                raise
+            raise HibiscusError(
+                ErrorKind.UPGRADE_IN_PROGRESS,
+                "A live instance runs a build that can't read a job of an "
+                "organisation.",
+            ) from error
+        _check_access(job, stored.head, requester)
+
+    def able_holders(
+        self, organisation: str, members: Mapping[str, LiveInstance]
+    ) -> dict[str, LiveInstance]:
+        """Returns the instances that can decode a job of an organisation.
+
+        Args:
+            organisation: The organisation; empty for none.
+            members: The instances to choose from.
+        """
+        if not organisation or self._formats is None:
+            return dict(members)
+        return self._formats.readers(members)
+
     def _holders_to_ask(self, model: str) -> list[LiveInstance]:
         """Returns the instances that should hold a job rather than this one."""
         others = self._instances.others()
@@ -691,9 +744,9 @@
         """Hands all unfinished jobs and their events to other instances."""
         self._stopping = True
         jobs_by_holder: dict[str, int] = {}
-        for job, local in self._unfinished():
+        for _, local in self._unfinished():
             saved = local.stop_for_handover()
-            self._hand_over_job(job, saved, jobs_by_holder)
+            self._hand_over_job(local, saved, jobs_by_holder)
 
     def _unfinished(self) -> list[tuple[str, LocalJob]]:
         return [
@@ -719,7 +772,7 @@
         jobs_by_holder: dict[str, int] = {}
         for job, local in self._unfinished():
             saved = local.stop_for_handover()
-            is_taken = self._hand_over_job(job, saved, jobs_by_holder)
+            is_taken = self._hand_over_job(local, saved, jobs_by_holder)
             self._drop(job)
             if not is_taken:
                 self._adoptions_to_finish.add(job)
@@ -728,13 +781,15 @@
 
     def _hand_over_job(
         self,
-        job: str,
+        local: LocalJob,
         saved: SavedSamples,
         jobs_by_holder: dict[str, int],
     ) -> bool:
         """Hands a job over; returns whether another instance has it."""
+        job = local.contents.job
         members = self._instances.members()
         members.pop(self._instances.member.name, None)
+        members = self.able_holders(local.contents.organisation, members)
         adopt_request = _AdoptRequest(
             job,
             saved.plain_events_by_name(),  # type: ignore[arg-type]
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -63,6 +63,8 @@
         self._config_version = 0
         # The organisations of the configuration; None for a deployment
         # without any.
+        # The key that callers send; empty for none.
+        self.key = ""
         self.tenants: Sequence[Mapping[str, Any]] | None = None
         self.instance_by_name: dict[str, PlatformInstance] = {}
         self._address_by_key: dict[str, Address] = {}
@@ -410,6 +412,7 @@
                 "Host": HOST,
                 "X-Request-Id": request_id,
                 "X-Deadline-Ms": "5000",
+                **({"Authorization": f"Bearer {self.key}"} if self.key else {}),
                 **(headers or {}),
             },
         )
