Let only the caller's instance record what began a stream

An instance that reaches no target sends a stream through another one, which told all instances what began it. If its response was lost before the first event, the stream began again through a third instance under the same request, and the first record stayed at some: take-ups were answered 200 and joined two versions.

The instance that chooses the target now records the origin under the request and its own name, and the caller's instance asks for that and records the origin under the request, once it has the first event.

--- a/features/isolated_instances.feature
+++ b/features/isolated_instances.feature
@@ -44,6 +44,19 @@
     Then all of the 12 streams were whole at the end
     And no stream holds events of two software versions
 
+  # What b began has no event at the caller; what c began then has. The origin
+  # that b had told others of made them go on at another version.
+  Scenario: a stream that began again through another instance is not joined
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    And the links of a hang
+    And a has noticed that
+    And responses to streams are lost between b and a
+    And 24 streams of 60 events begin at a, and are cut after 10 events
+    When they are taken up at b and at c in turn, after nothing else
+    Then no stream holds events of two software versions
+    And all of the 24 streams were whole at the end
+
   Scenario Outline: a job at an instance whose links <fault> is finished by others
     Given instances a, b and c before 4 engines of 12 places
     When a accepts a job of 4 groups of 8 samples with 100 events
--- a/features/memory_links.py
+++ b/features/memory_links.py
@@ -25,6 +25,7 @@
 
 # How long a connection may take to be accepted.
 CONNECT_S = 0.6
+LOST_AFTER_S = 0.1
 
 
 class TargetLinks:
@@ -114,6 +115,7 @@
         name: str,
         serves: Callable[[str], tuple[Forwarder, StreamForwarder]],
         route_of: Callable[[ProxiedRequest], ForwardRoute],
+        loses_streams: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the client.
 
@@ -122,7 +124,10 @@
             serves: Returns what serves requests there; raises an error if it
                 can't be reached.
             route_of: Returns the route of a request.
+            loses_streams: Returns whether the response to a stream is lost
+                once the other instance has the first event.
         """
+        self._loses_streams = loses_streams
         self._name = name
         self._serves = serves
         self._route_of = route_of
@@ -211,12 +216,18 @@
             request._replace(headers=headers), wait.deadline, wait.check, after
         )
         try:
-            return MemoryPeerStream(*streams.open(call))
+            stream = MemoryPeerStream(*streams.open(call))
         except HibiscusError as error:
             is_refused = error.ran is ExecutionStatus.NO
             raise TargetError(
                 str(error), sent=True, refused=is_refused
             ) from error
+        if self._loses_streams():
+            # Streams that begin at the same time are not to avoid it yet.
+            time.sleep(LOST_AFTER_S)
+            stream.close()
+            raise TargetError("reset", sent=True, disconnected=True)
+        return stream
 
     def close(self) -> None:
         """Does nothing."""
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -606,12 +606,15 @@
 
     Attributes:
         cut_from: The names of the instances that it can't reach.
+        loses_streams_from: The names of the instances from which the response
+            to a stream is lost after its first event.
     """
 
     def __init__(self, peers: MemoryPeers) -> None:
         self._peers = peers
         self._suspects: set[str] = set()
         self.cut_from: set[str] = set()
+        self.loses_streams_from: set[str] = set()
 
     def is_suspect(self, address: str) -> bool:
         """Returns whether the last call to an instance failed."""
@@ -840,7 +843,12 @@
                 raise TargetError("instance is unreachable", sent=False)
             return self.forwarder_by_name[name], self.streams_by_name[name]
 
-        return MemoryPeerClient(name, serves, self.route_of_request)
+        return MemoryPeerClient(
+            name,
+            serves,
+            self.route_of_request,
+            lambda: name in connection.loses_streams_from,
+        )
 
     def _route_of(
         self, contents: JobContents
--- a/features/steps/isolated_instances_steps.py
+++ b/features/steps/isolated_instances_steps.py
@@ -263,6 +263,11 @@
     context.memory.links_by_name["a"].fault = fault
 
 
+@given("responses to streams are lost between b and a")
+def lose_streams(context: Any) -> None:
+    context.memory.peers_by_name["a"].loses_streams_from = {"b"}
+
+
 @given("a has noticed that")
 def notice(context: Any) -> None:
     reach = context.memory.discovered_by_name["a"].reach
--- a/hibiscuspin/tasks/peer_targets.py
+++ b/hibiscuspin/tasks/peer_targets.py
@@ -14,12 +14,17 @@
 from hibiscuspin.tasks.discovered import DiscoveredTarget
 from hibiscuspin.tasks.instances import Instances
 
-__all__ = ["MAX_REQUESTS_PER_PEER", "PeerTargets"]
+__all__ = ["MAX_REQUESTS_PER_PEER", "PeerTargets", "peer_target_name"]
 
 # Requests of this instance that one other instance serves at once.
 MAX_REQUESTS_PER_PEER = 24
 
 
+def peer_target_name(name: str) -> str:
+    """Returns the name of an instance among the targets of requests."""
+    return f"instance {name}"
+
+
 class PeerTargets:
     """The other instances as targets; thread-safe."""
 
@@ -87,7 +92,7 @@
 
     def _create(self, member: LiveInstance) -> DiscoveredTarget:
         record = TargetRecord(
-            name=f"instance {member.name}",
+            name=peer_target_name(member.name),
             born_ms=0,
             service="",
             # Only the client needs it.
--- a/hibiscuspin/tasks/stream_exchange.py
+++ b/hibiscuspin/tasks/stream_exchange.py
@@ -21,6 +21,7 @@
     PeerUnreachableError,
 )
 from hibiscuspin.tasks.instances import Instances
+from hibiscuspin.tasks.peer_targets import peer_target_name
 from hibiscuspin.tasks.report_exchange import RETRY_PERIOD_S, ReportExchange
 from hibiscuspin.tasks.stream_origins import StreamOrigins
 
@@ -45,6 +46,10 @@
 _log = get_logger("live")
 
 
+def _relayed_id(request_id: str, name: str) -> str:
+    return f"{request_id} {name}"
+
+
 class StreamExchange:
     """Tells others of streams, and asks them; a supervised task."""
 
@@ -118,6 +123,33 @@
                 extra={"request_id": request_id, "others": len(others)},
             )
 
+    def record_relayed(
+        self, request_id: str, software: Software, deadline: float
+    ) -> None:
+        """Records what began a stream that goes on to another instance.
+
+        Its response may be lost, and the stream then begins again elsewhere
+        under the same request. Only the instance at which the caller is
+        records the origin under the request itself.
+
+        Args:
+            request_id: The request, which another instance has sent.
+            software: What generated the first event.
+            deadline: When the caller stops waiting, in monotonic time.
+        """
+        name = peer_target_name(self._instances.member.name)
+        self.record(_relayed_id(request_id, name), software, deadline)
+
+    def find_relayed(self, request_id: str, name: str) -> Software | None:
+        """Returns what began a stream through another instance.
+
+        Args:
+            request_id: The request.
+            name: The name of that instance among the targets.
+        """
+        # Earlier builds record it under the request itself.
+        return self.find(_relayed_id(request_id, name)) or self.find(request_id)
+
     def _recipients(self) -> list[LiveInstance]:
         own = self._instances.member.data_centre
         others = self._instances.others()
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -211,18 +211,20 @@
             return
         if self._target is None:
             return
+        request_id = self._call.request.request_id
+        self._begun_by = self._target.software
         if self._target.is_peer:
-            # The other instance has recorded it under the same request.
-            found = self._origins.find(self._call.request.request_id)
+            found = self._origins.find_relayed(
+                request_id, self._target.record.name
+            )
             self._begun_by = found or UNKNOWN_SOFTWARE
-            return
-        self._begun_by = self._target.software
         if self._call.route.resumable and self._begun_by.version:
-            self._origins.record(
-                self._call.request.request_id,
-                self._begun_by,
-                self._call.deadline,
+            record = (
+                self._origins.record_relayed
+                if self._call.is_relayed
+                else self._origins.record
             )
+            record(request_id, self._begun_by, self._call.deadline)
 
     def start(self) -> Sequence[tuple[str, str]]:
         """Opens the stream on a target.
