Give a read of the store all remaining time if no holder follows

The read of ended results from the store was limited to 0.7 s, which leaves time to ask the holder, also after the holder had failed. Found by reading.

--- a/hibiscuspin/tasks/result_reads.py
+++ b/hibiscuspin/tasks/result_reads.py
@@ -165,18 +165,17 @@
         )
         for source in sources:
             read.check()
+            is_last = source is sources[-1]
             try:
                 if source is ResultSource.HOLDER and holder is not None:
-                    remaining_s = read.deadline - self._clock.monotonic()
-                    is_last = source is sources[-1]
                     return self._ask_holder_for_ended(
                         holder,
                         read,
-                        _Limits(read.deadline, remaining_s)
+                        self._last_limits(read)
                         if is_last
                         else self._first_limits(read),
                     )
-                return self._read_store(read, stored, holder is not None)
+                return self._read_store(read, stored, is_last)
             except PeerUnreachableError:
                 continue
             except StoreError as error:
@@ -198,6 +197,10 @@
             read.request.wait_s + HOLDER_STALL_S,
         )
 
+    def _last_limits(self, read: _Read) -> _Limits:
+        remaining_s = read.deadline - self._clock.monotonic()
+        return _Limits(read.deadline, max(0.0, remaining_s))
+
     def _ask_holder_for_ended(
         self, holder: LiveInstance, read: _Read, limits: _Limits
     ) -> JobResults:
@@ -239,7 +242,7 @@
         return results._replace(source=ResultSource.HOLDER)
 
     def _read_store(
-        self, read: _Read, known: StoredHead | None, holder_is_next: bool
+        self, read: _Read, known: StoredHead | None, is_last: bool
     ) -> JobResults:
         """Reads the store; the head too, unless it is known.
 
@@ -249,7 +252,7 @@
         """
         job = read.request.job
         deadline = read.deadline
-        if holder_is_next:
+        if not is_last:
             now = self._clock.monotonic()
             deadline = min(deadline, now + FIRST_STORE_READ_S)
         if known is not None:
