--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -181,7 +181,12 @@
                 connection.late_copy = data
             return
         after = int(request.headers.get("last-event-id", "0"))
-        self.write("run", id=request.request_id, after=after)
+        self.write(
+            "run",
+            id=request.request_id,
+            after=after,
+            software=self._args.software,
+        )
         try:
             if "x-token-count" in request.headers:
                 self._stream(connection, request, after)
@@ -223,8 +228,8 @@
         connection.send(_encode_head(200, request, None, headers))
         for number in range(after + 1, last + 1):
             self._wait(connection, self._args.event_s)
-            event = f"id: {number}\ndata: {request.request_id}-{number}\n\n"
-            chunk = event.encode()
+            data = f"{request.request_id}-{number} {self._args.software}"
+            chunk = f"id: {number}\ndata: {data}\n\n".encode()
             connection.send(b"%x\r\n%s\r\n" % (len(chunk), chunk))
         connection.send(b"0\r\n\r\n")
         self.write("answered", id=request.request_id)
@@ -309,7 +314,7 @@
             "service": self._args.service,
             "address": f"{self._args.host}:{self._args.port}",
             "zone": self._args.zone,
-            "version": "v1",
+            "version": self._args.software,
             "slots": self._args.slots,
             "state": "ready",
             "cold_left_ms": 0,
@@ -369,6 +374,7 @@
     parser.add_argument("--record", required=True)
     parser.add_argument("--model", default="")
     parser.add_argument("--version", type=int, default=1)
+    parser.add_argument("--software", default="v1")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--event-s", type=float, default=0.04)
     parser.add_argument("--work-s", type=float, default=0.04)
