review: case 1, six spans of second copies

With four spans, two of the streams of one run had run twice; a run should not depend on so few. Each span is as long as before.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,14 +21,14 @@
 SHARE = 0.6
 # The share of their answers that they send twice, and when.
 COPIES = 0.03
-SPAN_S, SPAN_GAP_S, SPANS = 5.0, 5.0, 4
+SPAN_S, SPAN_GAP_S, SPANS = 5.0, 5.0, 6
 # From the start of the engines to the first span.
 FIRST_SPAN_S = 12.0
 SLOTS = 4
 EVENTS, EVENT_S = 10, 0.03
 CLIENTS = 44
 PAUSE_S = 0.2
-LENGTH_S = 46.0
+LENGTH_S = 66.0
 DEADLINE_MS = 10000
 OK_STATUS = 200
 PROMISES = frozenset({408, 421, 429, 503})
