Repeat the end of a job until its head says so

A trainer ended a job at an instance that had just handed it over.

Cause: the compare-and-swap that sets `ended` failed, since the head had a new holder, and the head that came back was taken for the own write.

Now the end is repeated on that head, and the holder that it names is told.

--- /dev/null
+++ b/features/job_ends.feature
@@ -0,0 +1,27 @@
+Feature: A job that its trainer ended has ended, whoever holds it by then
+
+  Background:
+    Given instances a, b and c before 2 engines of 8 places
+
+  # Guards against an end that is acknowledged while the job goes on elsewhere.
+  Scenario: an end at an instance that has handed the job over ends it
+    When a accepts a job of 2 groups of 4 samples with 500 events
+    And a hands its jobs over and is still there
+    And a ends the job
+    Then the store says that the job has ended
+    And no engine is at work within 1.0 s
+
+  # Guards against the same, with the end sent on by an instance that has read
+  # the job from its earlier holder.
+  Scenario: an end that goes to the earlier holder ends the job
+    When a accepts a job of 2 groups of 4 samples with 500 events
+    And b and c have read the job from a
+    And a hands its jobs over and is still there
+    And the one that did not take the job over ends it
+    Then the store says that the job has ended
+    And no engine is at work within 1.0 s
+
+  # Guards against an end that is acknowledged, though another change of the
+  # job or a lost answer came between its read and its write.
+  Scenario: no change during an end undoes it
+    Then after each acknowledged end the store says so, whatever came between
--- /dev/null
+++ b/features/steps/job_ends_steps.py
@@ -0,0 +1,140 @@
+"""Steps on ends of jobs that meet takeovers, results and lost answers."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from behave import then, when
+
+from features.platform_fakes import MemoryFleet
+from features.steps.platform_jobs_steps import (
+    JOB,
+    accept,
+    start_memory_fleet,
+)
+from hibiscuspin.clock import monotonic
+from hibiscuspin.errors import HibiscusError
+from hibiscuspin.tasks.job_store import FencedError, JobStore, StoredHead
+
+# Store calls of one end, before each of which something else may happen.
+STORE_CALLS = 4
+
+
+def stored_head(memory: MemoryFleet) -> StoredHead:
+    stored = JobStore(memory.store, memory.clock).head(JOB, monotonic() + 1.0)
+    assert stored is not None
+    return stored
+
+
+@when("a hands its jobs over and is still there")
+def hand_over(context: Any) -> None:
+    context.memory.jobs_by_name["a"].hand_over()
+    assert stored_head(context.memory).head["holder"] != "a"
+
+
+@when("b and c have read the job from a")
+def read_at_both(context: Any) -> None:
+    item = context.job.items[-1]
+    for name in "bc":
+        jobs = context.memory.jobs_by_name[name]
+        assert jobs.item_body(JOB, item.name) == item.body
+
+
+@when("the one that did not take the job over ends it")
+def end_at_other(context: Any) -> None:
+    holder = stored_head(context.memory).head["holder"]
+    other = "c" if holder == "b" else "b"
+    context.memory.jobs_by_name[other].end(JOB)
+
+
+@then("the store says that the job has ended")
+def check_ended(context: Any) -> None:
+    head = stored_head(context.memory).head
+    assert head["ended"], head
+
+
+def _hand_over(memory: MemoryFleet) -> None:
+    memory.jobs_by_name["a"].hand_over()
+
+
+def _take_over(memory: MemoryFleet) -> None:
+    memory.jobs_by_name["c"].adopt(JOB)
+
+
+def _finish(memory: MemoryFleet) -> None:
+    stored = stored_head(memory)
+    store: Any = memory.store
+    try:
+        JobStore(store, memory.clock).replace_head(
+            JOB, stored, {**stored.head, "done": True}, monotonic() + 1.0
+        )
+    except FencedError:
+        return
+
+
+def _lose_answer(memory: MemoryFleet) -> None:
+    memory.store.replies_to_lose = 1
+
+
+def _delay_commit(memory: MemoryFleet) -> None:
+    memory.store.commits_to_delay = 1
+
+
+EVENTS: tuple[Callable[[MemoryFleet], None], ...] = (
+    _hand_over,
+    _take_over,
+    _finish,
+    _lose_answer,
+    _delay_commit,
+)
+
+
+def _end_beside(
+    memory: MemoryFleet,
+    name: str,
+    event: Callable[[MemoryFleet], None],
+    call: int,
+) -> bool:
+    """Ends the job; an event comes before one of its calls to the store.
+
+    Returns:
+        Whether the end was acknowledged.
+    """
+    calls = itertools.count()
+    store = memory.store
+
+    def before(method: Callable[..., Any]) -> Callable[..., Any]:
+        def run(*args: Any) -> Any:
+            if next(calls) == call:
+                event(memory)
+            return method(*args)
+
+        return run
+
+    with (
+        mock.patch.object(store, "commit", before(store.commit)),
+        mock.patch.object(store, "read", before(store.read)),
+    ):
+        try:
+            memory.jobs_by_name[name].end(JOB)
+        except HibiscusError:
+            return False
+    return True
+
+
+@then("after each acknowledged end the store says so, whatever came between")
+def check_all_orders(context: Any) -> None:
+    acknowledged = 0
+    cases = itertools.product("abc", EVENTS, range(STORE_CALLS))
+    for name, event, call in cases:
+        context.memory.close()
+        start_memory_fleet(context, 2, 8, 0)
+        memory = context.memory
+        accept(context, "a", 1, 2, 500)
+        if _end_beside(memory, name, event, call):
+            acknowledged += 1
+            head = stored_head(memory).head
+            assert head["ended"], (name, event.__name__, call, head)
+        memory.store.apply_delayed()
+    assert acknowledged
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -34,6 +34,7 @@
     PeerUnreachableError,
 )
 from hibiscuspin.tasks.instances import Instances
+from hibiscuspin.tasks.job_ends import JobEnds
 from hibiscuspin.tasks.job_store import (
     FencedError,
     JobContents,
@@ -88,7 +89,6 @@
 READ_SLACK_S = 1.3
 # How often an instance that reaches no target offers its jobs to others.
 EVACUATION_PERIOD_S = 1.5
-END_TIMEOUT_S = 2.0
 ADOPT_TIMEOUT_S = 2.5
 
 _log = get_logger("rollouts")
@@ -138,6 +138,7 @@
         self._reader = ResultReader(
             dependencies.store, peers, dependencies.clock, store_is_reachable
         )
+        self._ends = JobEnds(dependencies.store, dependencies.clock)
         self._lock = threading.Lock()
         self._job_by_id: dict[str, LocalJob] = {}
         self._head_by_id: dict[str, StoredHead] = {}
@@ -521,14 +522,15 @@
             HibiscusError: As for `results`.
         """
         local = self._job_by_id.get(job)
+        asked = None
         if local is not None:
             _check_access(job, local.stored.head, requester)
         else:
             head = self._permitted_head(job, requester).head
-            member = self._remote_holder(head)
-            if member is not None and self._request_end(member, job):
+            asked = self._remote_holder(head)
+            if asked is not None and self._request_end(asked, job):
                 return
-        self._mark_ended(job, local)
+        self._mark_ended(job, local, asked)
 
     def _request_end(self, member: LiveInstance, job: str) -> bool:
         request = msgspec.msgpack.encode(job)
@@ -542,44 +544,38 @@
             self._head_by_id.pop(job, None)
         return True
 
-    def _mark_ended(self, job: str, local: LocalJob | None) -> None:
+    def _mark_ended(
+        self, job: str, local: LocalJob | None, asked: LiveInstance | None
+    ) -> None:
+        """Ends a job in the store, and at the holder that the store names.
+
+        Args:
+            job: The job's id.
+            local: The job, if this instance holds it or held it.
+            asked: The instance that did not respond as its holder, if any.
+        """
         if local is not None:
             local.stop()
-        deadline = self._clock.monotonic() + END_TIMEOUT_S
-        stored = local.stored if local else None
         try:
-            while True:
-                stored = stored or self._store.head(job, deadline)
-                if stored is None:
-                    raise HibiscusError(
-                        ErrorKind.NOT_FOUND, f"Job {job} does not exist."
-                    )
-                if not stored.head["ended"]:
-                    ended: JobHead = {**stored.head, "ended": True}
-                    stored = self._replace_head(job, stored, ended, deadline)
-                if stored is not None:
-                    break
+            stored = self._ends.mark(job, local.stored if local else None)
         except StoreError as error:
             raise _store_unavailable(error) from error
         if local is not None:
             local.stored = stored
+        # Without this call the holder goes on until it reads the head again.
+        holder = self._remote_holder(stored.head)
+        if holder is not None and holder != asked:
+            self._request_end(holder, job)
         self._head_by_id[job] = stored
         _log.info(
             "Job ended.",
             extra={
                 "job": job,
                 "organisation": stored.head.get("organisation", ""),
+                "holder": stored.head["holder"],
             },
         )
 
-    def _replace_head(
-        self, job: str, stored: StoredHead, head: JobHead, deadline: float
-    ) -> StoredHead | None:
-        try:
-            return self._store.replace_head(job, stored, head, deadline)
-        except FencedError as fenced:
-            return fenced.current
-
     def adopt(
         self,
         job: str,
@@ -907,7 +903,7 @@
         local = self._job_by_id.get(job)
         if local is None:
             raise _not_holder(job)
-        self._mark_ended(job, local)
+        self._mark_ended(job, local, None)
         return b""
 
     def _serve_holds(self, body: bytes) -> bytes:
