Let only jobs that still run here count as held

An instance that lost a job to another one kept its stopped copy, and adopt answered that it has the job because the copy was there. If the new holder was lost and the job was offered to it, nobody ran the job.

Now a released copy is dropped where it is met and answers nothing.

--- a/features/job_ends.feature
+++ b/features/job_ends.feature
@@ -25,3 +25,12 @@
   # job or a lost answer came between its read and its write.
   Scenario: no change during an end undoes it
     Then after each acknowledged end the store says so, whatever came between
+
+  # Guards against a job that nobody runs, since an instance that lost it says
+  # that it has it.
+  Scenario: an instance that has lost a job to another one takes it back
+    When a accepts a job of 2 groups of 4 samples with 200 events
+    And b takes the job over and a learns of it
+    And b is lost
+    And the coordinator at a sweeps
+    Then all results of the job are listed with whole texts of version 1
--- a/features/steps/job_ends_steps.py
+++ b/features/steps/job_ends_steps.py
@@ -12,11 +12,13 @@
     JOB,
     accept,
     start_memory_fleet,
+    wait_until,
 )
 from hibiscuspin.clock import monotonic
 from hibiscuspin.errors import HibiscusError
 from hibiscuspin.tasks.job_store import FencedError, JobStore, StoredHead
 
+FENCED_WITHIN_S = 3.0
 # Store calls of one end, before each of which something else may happen.
 STORE_CALLS = 4
 
@@ -54,6 +56,21 @@
     assert head["ended"], head
 
 
+@when("b takes the job over and a learns of it")
+def take_over(context: Any) -> None:
+    memory = context.memory
+    old = memory.jobs_by_name["a"]._job_by_id[JOB]
+    assert memory.jobs_by_name["b"].adopt(JOB)
+    assert wait_until(lambda: old.stopped, FENCED_WITHIN_S)
+
+
+@when("b is lost")
+def lose_new_holder(context: Any) -> None:
+    memory = context.memory
+    memory.departed["b"] = memory.members["b"]
+    memory.kill("b")
+
+
 def _hand_over(memory: MemoryFleet) -> None:
     memory.jobs_by_name["a"].hand_over()
 
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -433,7 +433,7 @@
         """
         request = ResultsRequest(job, after, wait_s)
         waited_until = self._clock.monotonic() + wait_s
-        local = self._job_by_id.get(job)
+        local = self._held(job)
         if local is not None:
             _check_access(job, local.stored.head, requester)
             found = self._local_results(request)
@@ -459,13 +459,13 @@
         return results
 
     def _local_results(self, request: ResultsRequest) -> JobResults | None:
-        local = self._job_by_id.get(request.job)
+        local = self._held(request.job)
         if local is None:
             return None
         until = self._clock.monotonic() + request.wait_s
         rows, holds = local.results(request.after, until)
         if not holds:
-            self._drop(request.job)
+            self._drop(request.job, local)
             return None
         return JobResults(len(local.contents.items), limit_size(rows))
 
@@ -478,7 +478,7 @@
             HibiscusError: `NOT_FOUND` if there is no such item or the job has
                 ended; otherwise as for `results`.
         """
-        local = self._job_by_id.get(job)
+        local = self._held(job)
         if local is not None and not local.stored.head["ended"]:
             _check_access(job, local.stored.head, requester)
             return _body_of(local.contents, item)
@@ -521,7 +521,7 @@
         Raises:
             HibiscusError: As for `results`.
         """
-        local = self._job_by_id.get(job)
+        local = self._held(job)
         asked = None
         if local is not None:
             _check_access(job, local.stored.head, requester)
@@ -595,8 +595,11 @@
             StoreError: The store could not be reached.
         """
         with self._lock:
-            if job in self._job_by_id or self._stopping:
-                return job in self._job_by_id
+            local = self._job_by_id.get(job)
+            if local is not None and not local.released:
+                return True
+            if self._stopping:
+                return False
             if job in self._adopting:
                 return True
             self._adopting.add(job)
@@ -718,7 +721,7 @@
         for job, local in self._unfinished():
             saved = local.stop_for_handover()
             is_taken = self._hand_over_job(local, saved, jobs_by_holder)
-            self._drop(job)
+            self._drop(job, local)
             if not is_taken:
                 self._adoptions_to_finish.add(job)
                 self.adopt(job, saved, from_itself=True)
@@ -791,7 +794,7 @@
     def is_held_by(self, member: LiveInstance, job: str) -> bool:
         """Queries whether an instance holds a job; False if unreachable."""
         if member.name == self._instances.member.name:
-            return job in self._job_by_id
+            return self._runs(job)
         request = msgspec.msgpack.encode(job)
         try:
             body = self._peers.call(
@@ -814,7 +817,7 @@
         for job, local in list(self._job_by_id.items()):
             submitted_at = local.stored.head["submitted_at"]
             if local.stopped and submitted_at < submitted_before:
-                self._drop(job)
+                self._drop(job, local)
 
     def stop(self) -> None:
         """Stops all jobs and waits for their control threads."""
@@ -865,15 +868,32 @@
             return None
         return member if member.term == head["term"] else None
 
-    def _drop(self, job: str) -> None:
+    def _held(self, job: str) -> LocalJob | None:
+        """Returns a job that this instance holds; drops a released one.
+
+        A released job may have another holder, so nothing that its copy here
+        says is certain.
+        """
+        local = self._job_by_id.get(job)
+        if local is not None and local.released:
+            self._drop(job, local)
+            return None
+        return local
+
+    def _runs(self, job: str) -> bool:
+        local = self._job_by_id.get(job)
+        return local is not None and not local.stopped
+
+    def _drop(self, job: str, local: LocalJob) -> None:
         with self._lock:
-            self._job_by_id.pop(job, None)
+            if self._job_by_id.get(job) is local:
+                del self._job_by_id[job]
         self._head_by_id.pop(job, None)
 
     def _serve_results(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=ResultsRequest)
         results = self._results_for_peer(request)
-        local = self._job_by_id.get(request.job)
+        local = self._held(request.job)
         ended = local is not None and local.stored.head["ended"]
         if not result_reads.sends_results(
             ended, results.size_bytes, self._store_is_reachable()
@@ -893,14 +913,14 @@
 
     def _serve_item(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_ItemRequest)
-        local = self._job_by_id.get(request.job)
+        local = self._held(request.job)
         if local is None or local.stored.head["ended"]:
             raise _not_holder(request.job)
         return _body_of(local.contents, request.item)
 
     def _serve_end(self, body: bytes) -> bytes:
         job = msgspec.msgpack.decode(body, type=str)
-        local = self._job_by_id.get(job)
+        local = self._held(job)
         if local is None:
             raise _not_holder(job)
         self._mark_ended(job, local, None)
@@ -908,12 +928,11 @@
 
     def _serve_holds(self, body: bytes) -> bytes:
         job = msgspec.msgpack.decode(body, type=str)
-        local = self._job_by_id.get(job)
-        return msgspec.msgpack.encode(local is not None and not local.stopped)
+        return msgspec.msgpack.encode(self._runs(job))
 
     def _serve_adopt(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_AdoptRequest)
-        if self._reach.is_doubtful and request.job not in self._job_by_id:
+        if self._reach.is_doubtful and self._held(request.job) is None:
             return msgspec.msgpack.encode(False)
         try:
             sent = SavedSamples.from_parts(
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -164,6 +164,11 @@
         """Whether this instance no longer runs the job."""
         return self._stopped.is_set()
 
+    @property
+    def released(self) -> bool:
+        """Whether the job was handed over or fenced, or its control failed."""
+        return self._released
+
     @property
     def done(self) -> bool:
         """Whether all results are published."""
