Check whose a response is before anything is taken from it

Cause: status 421, X-Not-Executed, the request limit and the notice that a target is draining were read before X-Request-Id was compared, so the copy of another request's rejection counted as this one's. The connection then went back to the pool while its engine worked on the request.

Now the id is compared first; a response with another id or none leaves the outcome unknown, and its connection is closed.

--- a/features/memory_links.py
+++ b/features/memory_links.py
@@ -204,7 +204,12 @@
             ) from error
 
     def open_stream(
-        self, request: ProxiedRequest, after: int, wait: WaitLimits
+        self,
+        request: ProxiedRequest,
+        after: int,
+        wait: WaitLimits,
+        *,
+        fresh: bool = False,
     ) -> "MemoryPeerStream":
         """Opens a stream through the other instance."""
         _, streams = self._connect()
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -356,7 +356,12 @@
             raise TargetError("connection reset", sent=True)
 
     def open_stream(
-        self, request: ProxiedRequest, after: int, wait: WaitLimits
+        self,
+        request: ProxiedRequest,
+        after: int,
+        wait: WaitLimits,
+        *,
+        fresh: bool = False,
     ) -> "MemoryStream":
         """Starts a run whose first event follows the event `after`."""
         after = after or int(request.headers.get("Last-Event-Id", 0))
@@ -471,7 +476,12 @@
             self._on_limit(self._target.limit_per_s, sent_at)
 
     def open_stream(
-        self, request: ProxiedRequest, after: int, wait: WaitLimits
+        self,
+        request: ProxiedRequest,
+        after: int,
+        wait: WaitLimits,
+        *,
+        fresh: bool = False,
     ) -> LinkedStream:
         """Starts a run; see `MemoryTarget.open_stream`."""
         self._links.connect(request.request_id, wait.deadline, wait.check)
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -223,12 +223,18 @@
         """
 
     def open_stream(
-        self, request: ProxiedRequest, after: int, wait: WaitLimits
+        self,
+        request: ProxiedRequest,
+        after: int,
+        wait: WaitLimits,
+        *,
+        fresh: bool = False,
     ) -> EventStream:
         """Starts a generation, or resumes it after an event.
 
         `after` is the id of the last event already received, 0 for none;
-        `wait` limits the wait for the response headers.
+        `wait` limits the wait for the response headers. With `fresh`, the
+        request uses a new connection.
         """
 
     def fetch_state(self, deadline: float) -> TargetState:
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -200,6 +200,10 @@
             )
         return b"".join(parts)
 
+    def discard(self) -> None:
+        """Closes the connection, whatever was read of the response."""
+        self._client.discard(self._connection)
+
     def close(self) -> None:
         """Returns the connection to the pool if the response is complete."""
         surplus = getattr(self._response, "surplus", False)
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -172,7 +172,7 @@
         )
         try:
             body = stream.read(WaitLimits(deadline, deadline, check))
-            self._check_response(request, stream, body)
+            self._check_response(stream)
         finally:
             stream.close()
         return ProxiedResponse(
@@ -183,25 +183,35 @@
         )
 
     def open_stream(
-        self, request: ProxiedRequest, after: int, wait: WaitLimits
+        self,
+        request: ProxiedRequest,
+        after: int,
+        wait: WaitLimits,
+        *,
+        fresh: bool = False,
     ) -> "EngineEventStream":
         """Starts a generation, or resumes it after an event."""
         extra_headers = (
             {words.LAST_EVENT_ID_HEADER: str(after)} if after else {}
         )
         stream = self._send_request(
-            request, extra_headers, wait.deadline, wait.stall_s, wait.check
+            request,
+            extra_headers,
+            wait.deadline,
+            wait.stall_s,
+            wait.check,
+            fresh=fresh,
         )
         try:
             if stream.status != OK_STATUS:
-                body = stream.read(wait)
-                self._check_response(request, stream, body)
+                stream.read(wait)
+                self._check_response(stream)
                 raise TargetError(
                     f"target responded with status {stream.status}",
                     sent=True,
                     status=stream.status,
                 )
-            self._check_response(request, stream, b"")
+            self._check_response(stream)
             return EngineEventStream(stream, self._clock)
         except BaseException:
             stream.close()
@@ -241,14 +251,39 @@
             check=check,
             fresh=fresh,
         )
+        self._check_identity(request, stream)
         self._check_draining(stream)
-        is_own_answer = (
-            words.NOT_EXECUTED_HEADER in stream.headers
-            or stream.headers.get(words.REQUEST_ID_HEADER) == request.request_id
-        )
-        self._check_limit(stream, sent_at, may_end=is_own_answer)
+        self._check_limit(stream, sent_at, may_end=True)
         return stream
 
+    def _check_identity(
+        self, request: ProxiedRequest, stream: HttpStream
+    ) -> None:
+        """Checks that a response belongs to this request.
+
+        An engine may send a second copy of an earlier response, for example of
+        a refusal. Nothing in such a copy applies to this request, which may
+        run, and its own response may follow on the connection.
+
+        Raises:
+            TargetError: The response has another request's id, or none.
+        """
+        echoed = stream.headers.get(words.REQUEST_ID_HEADER)
+        if echoed == request.request_id:
+            return
+        stream.discard()
+        self._client.close_idle()
+        _log.warning(
+            "Response to another request.",
+            extra={
+                "target": self._name,
+                "request_id": request.request_id,
+                "found": (echoed or "")[:MAX_LOGGED_CHARS],
+                "status": stream.status,
+            },
+        )
+        raise TargetError("response to another request", sent=True)
+
     def _caller_headers(self, request: ProxiedRequest) -> Mapping[str, str]:
         """Returns the caller's headers that may leave this instance.
 
@@ -296,14 +331,12 @@
         if rate_per_s is not None or (text is None and may_end):
             self._on_limit(rate_per_s, sent_at)
 
-    def _check_response(
-        self, request: ProxiedRequest, stream: HttpStream, body: bytes
-    ) -> None:
-        """Checks that the response is this target's response to this request.
+    def _check_response(self, stream: HttpStream) -> None:
+        """Checks that the target ran the request, and what it returned.
 
         Raises:
-            TargetError: The response is a refusal, belongs to another target
-                or request, or has a Content-Encoding.
+            TargetError: The response is a refusal, belongs to another target,
+                lacks the target's stamp, or has a Content-Encoding.
         """
         status = stream.status
         if status == MISDIRECTED_STATUS:
@@ -321,10 +354,6 @@
                 refused=True,
                 status=status,
             )
-        echoed = stream.headers.get(words.REQUEST_ID_HEADER)
-        if echoed != request.request_id:
-            self._client.close_idle()
-            raise TargetError("response to another request", sent=True)
         if words.TARGET_STAMP_HEADER not in stream.headers:
             raise TargetError(
                 f"response lacks {words.TARGET_STAMP_HEADER}, status {status}",
--- a/hibiscuspin/platform/peer_client.py
+++ b/hibiscuspin/platform/peer_client.py
@@ -63,7 +63,12 @@
         super().__init__(record, clock, has_organisations=has_organisations)
 
     def open_stream(
-        self, request: ProxiedRequest, after: int, wait: WaitLimits
+        self,
+        request: ProxiedRequest,
+        after: int,
+        wait: WaitLimits,
+        *,
+        fresh: bool = False,
     ) -> EngineEventStream:
         """Starts a stream, or resumes it after an event."""
         if after and words.RESUMES_HEADER not in request.headers:
@@ -74,7 +79,7 @@
                 words.RESUMES_HEADER: request.request_id,
             }
             request = request._replace(headers=headers)
-        return super().open_stream(request, after, wait)
+        return super().open_stream(request, after, wait, fresh=fresh)
 
     def _caller_headers(self, request: ProxiedRequest) -> Mapping[str, str]:
         # The other instance trusts this header, so a caller must not set it.
