Open streams that may run once on new connections

Cause: streams took pooled connections whether or not they may be resumed; calls that may run once had new ones before.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -20,3 +20,11 @@
       | stream | 421 Misdirected                                               |
       | stream | 503 Full\r\nX-Not-Executed: 1\r\nServer-Limit: 5              |
       | stream | 503 Full\r\nX-Not-Executed: 1\r\nServer-Leaving: 1            |
+
+  # Guards against streams whose outcome becomes unknown, since a copy or a
+  # close was already on its way on the connection that they take.
+  Scenario: streams that may run once use new connections
+    Given a forwarder before 3 targets of 6 places
+    When a stream of 2 events that may not be resumed is forwarded
+    Then the caller reads events 1 to 2 once each
+    And it came to its target on a connection of its own
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -252,6 +252,8 @@
         marks_events: Whether each event names the software version.
         is_draining: Whether its entry says that it is draining.
         requests: All requests that it got.
+        is_fresh_by_stream: Whether each stream came on a new connection, by
+            its request's id.
     """
 
     def __init__(self, name: str) -> None:
@@ -279,6 +281,7 @@
         self.marks_events = False
         self.is_draining = False
         self.requests: list[ProxiedRequest] = []
+        self.is_fresh_by_stream: dict[str, bool] = {}
 
     def send(
         self,
@@ -366,6 +369,7 @@
         """Starts a run whose first event follows the event `after`."""
         after = after or int(request.headers.get("Last-Event-Id", 0))
         self.requests.append(request)
+        self.is_fresh_by_stream[request.request_id] = fresh
         self.runs.setdefault(request.request_id, []).append(after)
         self._check_up()
         self.arrived_at.append(SystemClock().monotonic())
@@ -488,7 +492,7 @@
         self._notify_draining()
         sent_at = SystemClock().monotonic()
         try:
-            stream = self._target.open_stream(request, after, wait)
+            stream = self._target.open_stream(request, after, wait, fresh=fresh)
             return LinkedStream(stream, self._links)
         finally:
             self._on_limit(self._target.limit_per_s, sent_at)
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -103,3 +103,14 @@
     connections = context.server.connection_by_request
     assert connections["first"] == connections["second"], connections
     assert connections["third"] != connections["second"], connections
+
+
+@then("it came to its target on a connection of its own")
+def check_fresh(context: Any) -> None:
+    targets = context.target_by_name.values()
+    fresh = [
+        is_fresh
+        for target in targets
+        for is_fresh in target.is_fresh_by_stream.values()
+    ]
+    assert fresh == [True], fresh
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -361,6 +361,7 @@
                 self._request_for(target),
                 self._last_event_number,
                 self._read_limits(),
+                fresh=not self._call.route.resumable,
             )
         except BaseException:
             self._targets.request_ended(target)
