Take no request that outlasts a planned stop

Cause: a stopping instance served every request on an open connection up to the stop's deadline, however long it takes. The server then waited for the threads of those requests, and the other tasks stopped one after the other.

Now a request is taken only if it ends in time, by its limit or by the recent requests of its route; others are refused at once, as not run. Calls in flight are answered before the connections are closed, and each part of the stop has a bound.

--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -37,6 +37,7 @@
 from hibiscuspin.platform.peer_client import PeerClient
 from hibiscuspin.settings import Address
 from hibiscuspin.tasks.prefix_watcher import PrefixWatcher
+from hibiscuspin.tasks.stopping import PlannedStop
 
 KIND_OF_ROUTE = {"call": "idempotent", "stream": "streaming", "job": "batch"}
 # The request that callers forge: the key must go, whatever its spelling.
@@ -190,6 +191,7 @@
                 memory.streams_by_name[name],
                 memory.jobs_by_name[name],
                 Metrics(),
+                PlannedStop(memory.clock),
                 memory.clock,
             )
             for interface in (ClientInterface, RelayInterface)
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -51,6 +51,7 @@
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.scaling.engine_orders import EngineOrders
 from hibiscuspin.tasks.scoring import Scoring
+from hibiscuspin.tasks.stopping import PlannedStop
 from hibiscuspin.tasks.store_path import RELAY_METHOD, StorePath
 from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
@@ -83,6 +84,8 @@
 # which are a second apart.
 UNREADY_PERIOD_S = 3.2
 STOP_POLL_S = 0.05
+# Two writes to the store, after which the instance is unregistered.
+LEAVE_S = 3.2
 # Reserved at the end of the grace time for the process to exit.
 EXIT_MARGIN_S = 1.0
 
@@ -98,6 +101,7 @@
         self._clock: Clock = SystemClock()
         self._metrics = Metrics()
         self._stopping = threading.Event()
+        self._planned_stop = PlannedStop(self._clock)
         rng = random.Random(settings.instance)
         member = LiveInstance(
             settings.instance,
@@ -157,7 +161,11 @@
         )
         self._usage_exchange = self._create_usage_exchange()
         self._forwarder = Forwarder(
-            self._targets, self._clock, self._peer_targets, self._usage
+            self._targets,
+            self._clock,
+            self._peer_targets,
+            self._usage,
+            lambda: self._planned_stop.answer_by,
         )
         rewards = RewardCaller(self._routes, self._forwarder, self._clock)
         self._scoring = Scoring(
@@ -311,16 +319,17 @@
             self._clock.monotonic() + self._settings.grace_s - EXIT_MARGIN_S
         )
         self._stopping.set()
+        self._planned_stop.begin(stop_by)
         _log.info("Instance stopping.")
         for server in self._servers:
             server.drain(stop_by)
-        self._jobs.hand_over()
+        self._jobs.hand_over(stop_by - LEAVE_S)
         self._instances.leave()
         unready_until = min(stop_by, self._clock.monotonic() + UNREADY_PERIOD_S)
         while self._clock.monotonic() < unready_until:
             time.sleep(STOP_POLL_S)
         self._store_path.abort_long_polls()
-        self._supervisor.stop()
+        self._supervisor.stop(stop_by)
         self._jobs.stop()
         self._forwarder.stop()
         self._sample_executor.shutdown()
@@ -346,6 +355,7 @@
             self._metrics,
             self._peer_targets,
             self._usage,
+            lambda: self._planned_stop.answer_by,
         )
         clients, relayed = (
             interface(
@@ -355,6 +365,7 @@
                 streams,
                 self._jobs,
                 self._metrics,
+                self._planned_stop,
                 self._clock,
             )
             for interface in (ClientInterface, RelayInterface)
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -1,7 +1,7 @@
 """The HTTP interface for the platform's clients and trainers."""
 
 import urllib.parse
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from hibiscuspin.clock import Clock
@@ -22,6 +22,7 @@
 from hibiscuspin.tasks.job_store import JobContents
 from hibiscuspin.tasks.jobs import Jobs
 from hibiscuspin.tasks.route_table import Routes
+from hibiscuspin.tasks.stopping import PlannedStop
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
 
 __all__ = ["ClientInterface", "RelayInterface"]
@@ -34,6 +35,8 @@
 # Clients leave 1.5 s after the wait that they asked for; slower reads than
 # this are logged.
 SLOW_READ_S = 0.5
+# How long a read takes after its wait, also if the holder does not respond.
+READ_S = 1.3
 
 _log = get_logger("callers")
 
@@ -72,8 +75,10 @@
         streams: StreamForwarder,
         jobs: Jobs,
         metrics: Metrics,
+        stop: PlannedStop,
         clock: Clock,
     ) -> None:
+        self._stop = stop
         self._routes = routes
         self._routes_current = routes_current
         self._forwarder = forwarder
@@ -182,8 +187,9 @@
         wait_ms = _parse_integer(
             incoming.header(words.WAIT_MS_HEADER) or "0", words.WAIT_MS_HEADER
         )
-        wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S)
         started = self._clock.monotonic()
+        until_stop_s = max(0.0, self._stop.answer_by - READ_S - started)
+        wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S, until_stop_s)
         results = self._jobs.results(
             job, after, wait_s, requester, incoming.disconnected
         )
@@ -283,12 +289,25 @@
         )
 
     def _forward(self, call: ForwardedCall) -> Response:
+        self._stop.check(call.route.name, _ends_by(call))
         response = self._forwarder.forward(call)
+        self._record_duration(call)
         return Response(response.status, "", response.body, response.headers)
 
     def _open_stream(self, call: ForwardedCall) -> Response:
+        self._stop.check(call.route.name, call.deadline)
         headers, parts = self._streams.open(call)
-        return Response(200, "", parts, headers)
+        return Response(200, "", self._recorded(call, parts), headers)
+
+    def _recorded(
+        self, call: ForwardedCall, parts: Iterable[bytes]
+    ) -> Iterator[bytes]:
+        yield from parts
+        self._record_duration(call)
+
+    def _record_duration(self, call: ForwardedCall) -> None:
+        took_s = self._clock.monotonic() - call.arrived_at
+        self._stop.record(call.route.name, took_s)
 
 
 class RelayInterface(ClientInterface):
@@ -349,6 +368,10 @@
         return response._replace(headers=headers)
 
 
+def _ends_by(call: ForwardedCall) -> float:
+    return min(call.deadline, call.arrived_at + call.route.timeout_s)
+
+
 def _parse_request(environ: dict[str, Any]) -> _IncomingRequest:
     headers = {
         name[5:].replace("_", "-").title(): value
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -4,6 +4,7 @@
 carries it out, with one worker thread per attempt.
 """
 
+import math
 import queue
 import threading
 import time
@@ -140,6 +141,7 @@
         clock: Clock,
         peers: PeerTargets | None = None,
         usage: UsageRecorder = NO_USAGE,
+        stop_by: Callable[[], float] = lambda: math.inf,
     ) -> None:
         """Creates the forwarder.
 
@@ -149,7 +151,10 @@
             peers: The instances through which requests go while this one
                 reaches no target; None for none.
             usage: Records requests when targets begin to run them.
+            stop_by: Returns the monotonic time by which calls must have ended,
+                infinite unless the instance is stopping.
         """
+        self._stop_by = stop_by
         self._runs = RunTracker(usage, clock)
         self._targets = targets
         self._peers = peers
@@ -264,9 +269,6 @@
         self._clock = forwarder._clock
         self._crashes = forwarder._targets.crashes
         self._call = call
-        self._deadline = min(
-            call.deadline, call.arrived_at + call.route.timeout_s
-        )
         self._repeatable = call.route.kind is CallKind.REPEATABLE
         self._results: queue.SimpleQueue[_AttemptResult] = queue.SimpleQueue()
         self._finished = threading.Event()
@@ -285,6 +287,15 @@
         self._last_response: ProxiedResponse | None = None
         self._last_error: TargetError | None = None
 
+    @property
+    def _deadline(self) -> float:
+        call = self._call
+        return min(
+            call.deadline,
+            call.arrived_at + call.route.timeout_s,
+            self._forwarder._stop_by(),
+        )
+
     def run(self) -> ProxiedResponse:
         service = self._call.service
         self._forwarder._adjust_waiting_count(service, 1)
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -4,6 +4,7 @@
 holder does not respond. The instance that accepts a job is its first holder.
 """
 
+import math
 import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -688,13 +689,18 @@
             if job.unfinished and job.holder == name
         ]
 
-    def hand_over(self) -> None:
-        """Hands all unfinished jobs and their events to other instances."""
+    def hand_over(self, deadline: float = math.inf) -> None:
+        """Hands all unfinished jobs and their events to other instances.
+
+        Args:
+            deadline: When to leave the rest to the recovery of orphaned jobs,
+                in monotonic time.
+        """
         self._stopping = True
         jobs_by_holder: dict[str, int] = {}
         for _, local in self._unfinished():
             saved = local.stop_for_handover()
-            self._hand_over_job(local, saved, jobs_by_holder)
+            self._hand_over_job(local, saved, jobs_by_holder, deadline)
 
     def _unfinished(self) -> list[tuple[str, LocalJob]]:
         return [
@@ -732,6 +738,7 @@
         local: LocalJob,
         saved: SavedSamples,
         jobs_by_holder: dict[str, int],
+        deadline: float = math.inf,
     ) -> bool:
         """Hands a job over; returns whether another instance has it."""
         job = local.contents.job
@@ -749,8 +756,10 @@
         while member := recovery.choose_holder(
             job, members, jobs_by_holder, refused
         ):
+            if self._clock.monotonic() >= deadline:
+                break
             jobs_by_holder[member.name] = jobs_by_holder.get(member.name, 0) + 1
-            if self._request_adoption(member, request):
+            if self._request_adoption(member, request, deadline):
                 _log.info(
                     "Job handed over.",
                     extra={"job": job, "to": member.name},
@@ -763,10 +772,19 @@
         )
         return False
 
-    def _request_adoption(self, member: LiveInstance, request: bytes) -> bool:
+    def _request_adoption(
+        self,
+        member: LiveInstance,
+        request: bytes,
+        deadline: float = math.inf,
+    ) -> bool:
+        left_s = deadline - self._clock.monotonic()
         try:
             body = self._peers.call(
-                member.address, ADOPT_METHOD, request, ADOPT_TIMEOUT_S
+                member.address,
+                ADOPT_METHOD,
+                request,
+                min(ADOPT_TIMEOUT_S, left_s),
             )
         except (PeerUnreachableError, HibiscusError) as error:
             _log.info(
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -1,7 +1,8 @@
 """Forwards streams to callers; resumes them on another target if allowed."""
 
+import math
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import NoReturn
 
 from hibiscuspin.clock import Clock
@@ -62,7 +63,9 @@
         metrics: Metrics | None = None,
         peers: PeerTargets | None = None,
         usage: UsageRecorder = NO_USAGE,
+        stop_by: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._stop_by = stop_by
         self._runs = RunTracker(usage, clock, streams=True)
         self._peers = peers
         self._targets = targets
@@ -89,6 +92,7 @@
             call,
             self._peers,
             self._runs,
+            self._stop_by,
         )
         try:
             stream.bind_to_origin()
@@ -117,7 +121,9 @@
         call: ForwardedCall,
         peers: PeerTargets | None,
         runs: RunTracker,
+        stop_by: Callable[[], float],
     ) -> None:
+        self._stop_by = stop_by
         self.runs = runs.track(call.request.request_id, call.counted_for)
         self._run = 0
         self._peers = peers
@@ -140,6 +146,10 @@
         self._first_events: list[ServerSentEvent] = []
         self._last_error: TargetError | None = None
 
+    @property
+    def _deadline(self) -> float:
+        return min(self._call.deadline, self._stop_by())
+
     def bind_to_origin(self) -> None:
         """Finds out what began the stream that the caller takes up again.
 
@@ -325,14 +335,14 @@
             and error.refused
             and not error.draining
             and all(view.name in self._tried for view in views)
-            and now < min(self._refused_until, self._call.deadline)
+            and now < min(self._refused_until, self._deadline)
         )
 
     def _wait_for_tokens(self, views: Sequence[TargetView], now: float) -> bool:
         """Asks for tokens; returns whether they may come in time."""
         call = self._call
         wait_s = self._targets.limits.wait_s(call.service)
-        if now + wait_s >= call.deadline or not any(
+        if now + wait_s >= self._deadline or not any(
             view.is_limited and view.name not in self._tried for view in views
         ):
             return False
@@ -344,7 +354,7 @@
     def _may_start(self) -> bool:
         route = self._call.route
         max_attempts = route.max_attempts if route.resumable else 1
-        in_time = self._clock.monotonic() < self._call.deadline
+        in_time = self._clock.monotonic() < self._deadline
         verdict = self._crashes.verdict(self._call.fingerprint)
         if verdict is Verdict.SUSPECT_ONCE and self._may_have_run:
             return False
@@ -382,7 +392,7 @@
         return events.headers
 
     def _read_limits(self) -> WaitLimits:
-        deadline = self._call.deadline
+        deadline = self._deadline
         stall_s = STALL_TIMEOUT_S
         if not self._call.route.resumable:
             stall_s = max(0.0, deadline - self._clock.monotonic())
--- a/hibiscuspin/tasks/supervisor.py
+++ b/hibiscuspin/tasks/supervisor.py
@@ -1,10 +1,12 @@
 """Runs tasks, restarts those that end, and stops them in reverse order."""
 
+import math
 import threading
 from collections.abc import Sequence
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Protocol, runtime_checkable
 
+from hibiscuspin.clock import monotonic
 from hibiscuspin.logs import get_logger
 
 __all__ = ["Interruptible", "Supervisor", "Task"]
@@ -63,13 +65,21 @@
             future = self._executor.submit(self._run_with_restarts, task, stop)
             self._futures.append(future)
 
-    def stop(self) -> None:
-        """Stops the tasks, last first, and waits for each."""
+    def stop(self, deadline: float = math.inf) -> None:
+        """Stops the tasks, last first, and waits for each.
+
+        Args:
+            deadline: When to stop all that are left at once, in monotonic
+                time.
+        """
         rows = list(zip(self._tasks, self._stops, self._futures, strict=True))
         for task, stop, future in reversed(rows):
             stop.set()
             if isinstance(task, Interruptible):
                 task.interrupt()
+            left_s = deadline - monotonic()
+            wait([future], None if left_s == math.inf else max(0.0, left_s))
+        for future in self._futures:
             future.result()
         self._executor.shutdown()
 
