Finish ends of jobs that the store did not confirm

An end stopped the job at its holder before the write to the store. If the store did not respond, the call was answered 503 and the job stayed stopped and not ended; nobody ran it, ended it or gave it to another instance.

Now the instance keeps such ends and repeats them with its other unfinished writes, once the store responds.

The scenario 'an end that the store did not confirm is finished later' could not pass before, since nothing finished the end; it passes now.

--- a/features/job_ends.feature
+++ b/features/job_ends.feature
@@ -34,3 +34,12 @@
     And b is lost
     And the coordinator at a sweeps
     Then all results of the job are listed with whole texts of version 1
+
+  # Guards against an end that stops the job at its holder, and is forgotten
+  # there when the store does not confirm it.
+  Scenario: an end that the store did not confirm is finished later
+    When a accepts a job of 2 groups of 4 samples with 500 events
+    And an end from b meets a store that is down
+    And the store is back and a finishes its ends
+    Then the store says that the job has ended
+    And no engine is at work within 1.0 s
--- a/features/steps/job_ends_steps.py
+++ b/features/steps/job_ends_steps.py
@@ -56,6 +56,24 @@
     assert head["ended"], head
 
 
+@when("an end from b meets a store that is down")
+def end_without_store(context: Any) -> None:
+    memory = context.memory
+    memory.jobs_by_name["b"].results(JOB, 0, 0.0)
+    memory.store.down = True
+    try:
+        memory.jobs_by_name["b"].end(JOB)
+    except HibiscusError:
+        return
+    raise AssertionError("an end was acknowledged without the store")
+
+
+@when("the store is back and a finishes its ends")
+def finish_ends(context: Any) -> None:
+    context.memory.store.down = False
+    context.memory.jobs_by_name["a"].finish_ends()
+
+
 @when("b takes the job over and a learns of it")
 def take_over(context: Any) -> None:
     memory = context.memory
--- a/hibiscuspin/tasks/job_ends.py
+++ b/hibiscuspin/tasks/job_ends.py
@@ -5,6 +5,7 @@
 """
 
 from hibiscuspin.clock import Clock
+from hibiscuspin.edges import StoreError
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.job_store import (
@@ -27,10 +28,17 @@
     def __init__(self, store: JobStore, clock: Clock) -> None:
         self._store = store
         self._clock = clock
+        self._unconfirmed: set[str] = set()
+
+    def unconfirmed(self) -> list[str]:
+        """Returns the jobs whose end the store has not confirmed."""
+        return list(self._unconfirmed)
 
     def mark(self, job: str, known: StoredHead | None) -> StoredHead:
         """Marks a job as ended; does nothing if it has ended.
 
+        A job whose end fails counts as unconfirmed until a later call succeeds.
+
         Args:
             job: The job's id.
             known: The last known head, also an old one; None if unknown.
@@ -42,6 +50,19 @@
             HibiscusError: `NOT_FOUND` if there is no such job.
             StoreError: The store could not be reached.
         """
+        try:
+            stored = self._mark(job, known)
+        except StoreError:
+            self._unconfirmed.add(job)
+            raise
+        self._unconfirmed.discard(job)
+        if stored is None:
+            raise HibiscusError(
+                ErrorKind.NOT_FOUND, f"Job {job} does not exist."
+            )
+        return stored
+
+    def _mark(self, job: str, known: StoredHead | None) -> StoredHead | None:
         deadline = self._clock.monotonic() + END_TIMEOUT_S
         stored = known or self._store.head(job, deadline)
         while stored is not None and not stored.head["ended"]:
@@ -58,8 +79,4 @@
                         "holder": stored.head["holder"] if stored else "",
                     },
                 )
-        if stored is None:
-            raise HibiscusError(
-                ErrorKind.NOT_FOUND, f"Job {job} does not exist."
-            )
         return stored
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -81,7 +81,7 @@
             self._resume_own(stop)
         while not stop.wait(TICK_S):
             now = self._clock.monotonic()
-            self._finish_adoptions(now)
+            self._finish_writes(now)
             self._evacuate()
             members = self._instances.members()
             observed = frozenset((m.name, m.term) for m in members.values())
@@ -102,15 +102,16 @@
                     extra={"reason": str(error)},
                 )
 
-    def _finish_adoptions(self, now: float) -> None:
+    def _finish_writes(self, now: float) -> None:
         if now < self._finish_at:
             return
         try:
+            self._jobs.finish_ends()
             self._jobs.finish_adoptions()
         except StoreError as error:
             self._finish_at = now + RETRY_S
             _log.info(
-                "Takeover of a job not finished; retrying.",
+                "End or takeover of a job not finished; retrying.",
                 extra={"reason": str(error)},
             )
 
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -531,7 +531,28 @@
             asked = self._remote_holder(head)
             if asked is not None and self._request_end(asked, job):
                 return
-        self._mark_ended(job, local, asked)
+        try:
+            self._mark_ended(job, local, asked)
+        except StoreError as error:
+            raise _store_unavailable(error) from error
+
+    def finish_ends(self) -> None:
+        """Finishes ends that the store did not confirm.
+
+        Such a job may have stopped here already, so nobody else would end or
+        run it.
+
+        Raises:
+            StoreError: The store could not be reached.
+        """
+        for job in self._ends.unconfirmed():
+            try:
+                self._mark_ended(job, self._held(job), None)
+            except HibiscusError as error:
+                _log.info(
+                    "End of a job not finished: the job does not exist.",
+                    extra={"job": job, "reason": str(error)},
+                )
 
     def _request_end(self, member: LiveInstance, job: str) -> bool:
         request = msgspec.msgpack.encode(job)
@@ -554,13 +575,14 @@
             job: The job's id.
             local: The job, if this instance holds it or held it.
             asked: The instance that did not respond as its holder, if any.
+
+        Raises:
+            HibiscusError: `NOT_FOUND` if there is no such job.
+            StoreError: The store could not be reached.
         """
         if local is not None:
             local.stop()
-        try:
-            stored = self._ends.mark(job, local.stored if local else None)
-        except StoreError as error:
-            raise _store_unavailable(error) from error
+        stored = self._ends.mark(job, local.stored if local else None)
         if local is not None:
             local.stored = stored
         # Without this call the holder goes on until it reads the head again.
@@ -941,7 +963,10 @@
         local = self._held(job)
         if local is None:
             raise _not_holder(job)
-        self._mark_ended(job, local, None)
+        try:
+            self._mark_ended(job, local, None)
+        except StoreError as error:
+            raise _store_unavailable(error) from error
         return b""
 
     def _serve_holds(self, body: bytes) -> bytes:
