Read each field of a target's entry within bounds

An entry of another program that is nested deeply ended each read of the list of targets: engines that joined later got nothing, and instances that started later never got ready.

Cause: the decoder did not expect RecursionError. Numbers and addresses out of range passed it and would have failed wherever they are used.

Now each field has a bound where it is read, an odd entry costs itself and one log line, and the responses of engines have the same bounds.

All 37 scenarios of features/odd_entries.feature failed before, run against the earlier decoder; with processes, an instance was not ready 20 s after its start. They pass now.

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -17,9 +17,10 @@
 from behave import given, then, when
 
 from hibiscuspin.decisions.routes import CallKind, find_route
+from hibiscuspin.edges.discovery import InvalidRecordError
 from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.errors import ErrorKind, HibiscusError
-from hibiscuspin.platform import batches, engines, operators
+from hibiscuspin.platform import batches, operators, registrations
 from hibiscuspin.platform.settings import read_settings_file
 from hibiscuspin.settings import SettingsError
 from hibiscuspin.tasks.job_store import ItemResult, RewardRequest
@@ -219,8 +220,11 @@
         if fields.get("service", "").isdigit():
             fields["service"] = int(fields["service"])
         raw = msgspec.json.encode(fields)
-    value = stored_value(engines.TARGET_PREFIX + "t1", raw)
-    context.record = engines.decode_record(value)
+    value = stored_value(registrations.TARGET_PREFIX + "t1", raw)
+    try:
+        context.record = registrations.decode_record(value)
+    except InvalidRecordError:
+        context.record = None
 
 
 @then("it names a target")
--- a/features/steps/scaling_tasks_steps.py
+++ b/features/steps/scaling_tasks_steps.py
@@ -22,7 +22,7 @@
 )
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.metrics import Metrics
-from hibiscuspin.platform import engines
+from hibiscuspin.platform import registrations
 from hibiscuspin.settings import Address
 from hibiscuspin.tasks.discovered import DiscoveredTargets
 from hibiscuspin.tasks.instances import Term
@@ -263,8 +263,8 @@
 
 
 def read_entry(context: Any, now: int) -> None:
-    value = stored_value(engines.TARGET_PREFIX + "t0", ENTRY)
-    record = engines.decode_record(value, float(now))
+    value = stored_value(registrations.TARGET_PREFIX + "t0", ENTRY)
+    record = registrations.decode_record(value, float(now))
     assert record is not None and record.interruptible
     context.targets.replace([record], 0.0)
 
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -26,6 +26,10 @@
 LimitListener = Callable[[float | None, float], None]
 
 
+class InvalidRecordError(Exception):
+    """A target's registration does not have the documented form."""
+
+
 class TargetRecord(NamedTuple):
     """A target's own registration.
 
--- a/hibiscuspin/edges/transactions.py
+++ b/hibiscuspin/edges/transactions.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple, Protocol
 
+import msgspec
+
 from hibiscuspin.edges import StoreError
 
 __all__ = [
@@ -17,6 +19,7 @@
     "HistoryLostError",
     "LeaseLostError",
     "PutOperation",
+    "STORED_VALUE_ERRORS",
     "ScanResult",
     "StoredValue",
     "Transaction",
@@ -25,6 +28,10 @@
 ]
 
 
+# Raised by decoding a stored value that is malformed or nested too deeply.
+STORED_VALUE_ERRORS = (msgspec.DecodeError, RecursionError)
+
+
 class HistoryLostError(StoreError):
     """The store has discarded changes that a watch requested."""
 
--- a/hibiscuspin/platform/app.py
+++ b/hibiscuspin/platform/app.py
@@ -20,7 +20,12 @@
 from hibiscuspin.logs import get_logger
 from hibiscuspin.metrics import Metrics
 from hibiscuspin.peers.rpc import PeerHttpClient, peer_app
-from hibiscuspin.platform import engines, operators, retirement
+from hibiscuspin.platform import (
+    engines,
+    operators,
+    registrations,
+    retirement,
+)
 from hibiscuspin.platform.callers import ClientInterface, RelayInterface
 from hibiscuspin.platform.duty_calls import PlatformDutyCalls
 from hibiscuspin.platform.peer_client import PeerClient
@@ -246,8 +251,10 @@
             active=lambda: self._instances.term() is not None,
         )
         self._directory = TargetDirectory(
-            engines.TARGET_PREFIX,
-            lambda value: engines.decode_record(value, self._clock.monotonic()),
+            registrations.TARGET_PREFIX,
+            lambda value: registrations.decode_record(
+                value, self._clock.monotonic()
+            ),
             self._store,
             self._targets,
             self._clock,
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -1,4 +1,4 @@
-"""Decodes the platform's registrations of targets, and calls targets."""
+"""Calls targets, in the platform's words."""
 
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -24,29 +24,23 @@
     HttpStream,
     do_nothing,
 )
-from hibiscuspin.edges.transactions import StoredValue
 from hibiscuspin.logs import get_logger
-from hibiscuspin.platform import words
+from hibiscuspin.platform import fields, words
 from hibiscuspin.platform.identity import without_identity
-from hibiscuspin.settings import parse_address
+from hibiscuspin.platform.registrations import parse_versions
 
 __all__ = [
-    "TARGET_PREFIX",
     "EngineClient",
     "EngineEventStream",
-    "decode_record",
 ]
 
-TARGET_PREFIX = "servers/"
-READY_STATE = "ready"
-DRAINING_STATE = "draining"
 MS_PER_S = 1000
 MISDIRECTED_STATUS = 421
 ACCEPTED_STATUS = 202
 OK_STATUS = 200
 MAX_LOGGED_CHARS = 40
-# A day; longer times are taken for invalid ones.
-MAX_LEAVES_MS = 86_400_000
+# Numbers of events and of versions; longer ones can't be encoded later.
+MAX_NUMBER_DIGITS = 15
 # Hop-by-hop headers and Content-Length, in lower case; they are not forwarded.
 NOT_FORWARDED_HEADERS = frozenset(
     {
@@ -68,66 +62,6 @@
 _log = get_logger("targets")
 
 
-def decode_record(value: StoredValue, now: float = 0.0) -> TargetRecord | None:
-    """Decodes a target's registration; returns None if it is unusable.
-
-    Args:
-        value: The entry.
-        now: The monotonic time at which it was read.
-    """
-    try:
-        raw = msgspec.json.decode(value.value)
-        return _parse_record(value.key.removeprefix(TARGET_PREFIX), raw, now)
-    except words.DECODE_ERRORS:
-        return None
-
-
-def _parse_record(name: str, raw: dict[str, Any], now: float) -> TargetRecord:
-    if raw["state"] not in (READY_STATE, DRAINING_STATE):
-        raise ValueError(f"state must be {READY_STATE!r} or {DRAINING_STATE!r}")
-    slots = raw["slots"]
-    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
-        raise ValueError("slots must be a positive integer")
-    service, zone = raw["service"], raw["zone"]
-    if not isinstance(service, str) or not isinstance(zone, str):
-        raise TypeError("service and zone must be strings")
-    born = raw.get("born", 0)
-    return TargetRecord(
-        name=name,
-        born_ms=born if isinstance(born, int) else 0,
-        service=service,
-        address=parse_address(raw["address"]),
-        data_centre=zone,
-        slots=slots,
-        draining=raw["state"] == DRAINING_STATE,
-        version_by_model=_parse_versions(raw),
-        software_version=_parse_software_version(raw),
-        interruptible=raw.get("spot") is True,
-        leaves_at=_parse_leaves_at(raw, now),
-    )
-
-
-def _parse_leaves_at(raw: Mapping[str, Any], now: float) -> float | None:
-    """Returns when a target leaves; an invalid time counts as none."""
-    value = raw.get("leaves_ms")
-    if raw["state"] != DRAINING_STATE or isinstance(value, bool):
-        return None
-    if isinstance(value, int | float) and 0 <= value <= MAX_LEAVES_MS:
-        return now + value / MS_PER_S
-    return None
-
-
-def _parse_software_version(raw: Mapping[str, Any]) -> str:
-    value = raw.get("version", "")
-    if not isinstance(value, str):
-        raise TypeError("version must be a string")
-    return value
-
-
-def _parse_versions(raw: Mapping[str, Any]) -> dict[str, int]:
-    return {row["name"]: int(row["version"]) for row in raw.get("models") or ()}
-
-
 class EngineClient:
     """A `TargetClient` over HTTP."""
 
@@ -378,10 +312,10 @@
         raw = _decode_body(response)
         try:
             return TargetState(
-                _parse_versions(raw),
+                parse_versions(raw),
                 bool(raw["busy"]),
-                int(raw["seq_no"]),
-                int(raw["running"]) + int(raw["waiting"]),
+                fields.integer(raw, "seq_no"),
+                fields.integer(raw, "running") + fields.integer(raw, "waiting"),
             )
         except words.DECODE_ERRORS as error:
             raise TargetError(
@@ -512,9 +446,9 @@
 
 
 def _parse_number(text: str) -> int:
-    if not (text.isascii() and text.isdigit()):
-        raise TargetError(f"expected a number, found {text[:40]!r}", sent=True)
-    return int(text)
+    if text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS:
+        return int(text)
+    raise TargetError(f"expected a number, found {text[:40]!r}", sent=True)
 
 
 def _forwarded_headers(stream: HttpStream) -> Sequence[tuple[str, str]]:
--- a/hibiscuspin/platform/words.py
+++ b/hibiscuspin/platform/words.py
@@ -45,6 +45,8 @@
 DECODE_ERRORS = (
     AttributeError,
     KeyError,
+    OverflowError,
+    RecursionError,
     TypeError,
     ValueError,
     binascii.Error,
--- a/hibiscuspin/tasks/directory.py
+++ b/hibiscuspin/tasks/directory.py
@@ -18,7 +18,7 @@
 from hibiscuspin.decisions import readers, relays
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.edges import StoreError
-from hibiscuspin.edges.discovery import TargetRecord
+from hibiscuspin.edges.discovery import InvalidRecordError, TargetRecord
 from hibiscuspin.edges.transactions import (
     ScanResult,
     StoredValue,
@@ -68,7 +68,7 @@
     def __init__(
         self,
         prefix: str,
-        decode: Callable[[StoredValue], TargetRecord | None],
+        decode: Callable[[StoredValue], TargetRecord],
         store: TransactionStore,
         targets: DiscoveredTargets,
         clock: Clock,
@@ -82,7 +82,7 @@
 
         Args:
             prefix: The key prefix under which targets register.
-            decode: Decodes a target's entry; returns None for an invalid one.
+            decode: Decodes a target's entry; raises `InvalidRecordError`.
             store: The store.
             targets: The targets to update with each list.
             clock: The time source.
@@ -188,6 +188,9 @@
             if had_list and read_at - self._read_at > lost_age_s:
                 self._reconnected_at = read_at
             self._read_at = read_at
+            self._invalid_keys.intersection_update(
+                value.key for value in scan.values
+            )
             records = [self._decode_entry(value) for value in scan.values]
             self._targets.replace(
                 [record for record in records if record is not None],
@@ -288,13 +291,17 @@
         return msgspec.msgpack.encode(states)
 
     def _decode_entry(self, value: StoredValue) -> TargetRecord | None:
-        record = self._decode(value)
-        if record is None and value.key not in self._invalid_keys:
-            _log.warning(
-                "Ignoring a target's invalid entry in the store.",
-                extra={"key": value.key},
-            )
-            self._invalid_keys.add(value.key)
+        try:
+            record = self._decode(value)
+        except InvalidRecordError as error:
+            if value.key not in self._invalid_keys:
+                _log.warning(
+                    "Ignoring a target's invalid entry in the store.",
+                    extra={"key": value.key, "reason": str(error)},
+                )
+                self._invalid_keys.add(value.key)
+            return None
+        self._invalid_keys.discard(value.key)
         return record
 
 
--- a/hibiscuspin/tasks/instances.py
+++ b/hibiscuspin/tasks/instances.py
@@ -28,6 +28,7 @@
 from hibiscuspin.decisions.registration import IDLE_LEASE, LeasePlan
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.transactions import (
+    STORED_VALUE_ERRORS,
     CommitResult,
     LeaseLostError,
     PutOperation,
@@ -541,7 +542,7 @@
             continue
         try:
             stored = msgspec.json.decode(value.value, type=_StoredAnnouncement)
-        except msgspec.DecodeError as error:
+        except STORED_VALUE_ERRORS as error:
             _log.warning(
                 "Ignoring an invalid announcement of formats.",
                 extra={"key": key, "reason": str(error)},
@@ -559,7 +560,7 @@
         return None
     try:
         return msgspec.json.decode(value.value, type=LiveInstance)
-    except msgspec.DecodeError as error:
+    except STORED_VALUE_ERRORS as error:
         _log.warning(
             "Ignoring an invalid registration of an instance.",
             extra={"key": key, "reason": str(error)},
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -19,6 +19,7 @@
 from hibiscuspin.decisions.software import Software
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.transactions import (
+    STORED_VALUE_ERRORS,
     CommitConflict,
     CommitResult,
     PutOperation,
@@ -291,7 +292,7 @@
         for value in scan.values:
             try:
                 stored = _decode_head(value)
-            except msgspec.DecodeError as error:
+            except STORED_VALUE_ERRORS as error:
                 _log.warning(
                     "Ignoring a job whose stored head is invalid.",
                     extra={"key": value.key, "reason": str(error)},
--- a/hibiscuspin/tasks/stream_records.py
+++ b/hibiscuspin/tasks/stream_records.py
@@ -14,6 +14,7 @@
 from hibiscuspin.clock import Clock
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.transactions import (
+    STORED_VALUE_ERRORS,
     PutOperation,
     Transaction,
     TransactionStore,
@@ -114,7 +115,7 @@
             record = msgspec.msgpack.decode(value.value, type=_Record)
             age_s = max(0.0, self._clock.wall() - record.written_at_s)
             count = self._origins.restore(record.origins, age_s)
-        except msgspec.DecodeError as error:
+        except STORED_VALUE_ERRORS as error:
             _log.warning(
                 "Ignoring malformed origins of streams.",
                 extra={"key": self._key, "reason": str(error)},
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -136,7 +136,11 @@
 
     def put_key(self, key: str, value: object) -> None:
         """Writes a key to the store, as an operator does."""
-        encoded = base64.b64encode(msgspec.json.encode(value)).decode()
+        self.put_bytes(key, msgspec.json.encode(value))
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Writes any bytes to a key of the store."""
+        encoded = base64.b64encode(value).decode()
         body = {"writes": [{"key": key, "value": encoded}]}
         self._store_client.request(
             "POST",
