Ask a target which incarnation it is before a stream goes on

Streams were joined from two software versions: an engine that starts again under its name is listed with its old version until the list is read again, and longer at an instance that is out of step.

Cause: what the list said was taken for what the engine is, where the origin of a stream is recorded and where a stream or sample goes on.

Now a target states its start after the connection of such a stream has been established. If that is not the listed one, nothing goes on there, and a stream that begins there has an unknown origin.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -381,7 +381,12 @@
 
     def fetch_state(self, deadline: float) -> TargetState:
         """Returns the served version and the number of weight orders."""
-        return TargetState({MODEL: self.version}, False, len(self.orders), 0)
+        self._check_up()
+        if self.fault == "unreachable":
+            raise TargetError("no connection", sent=False)
+        return TargetState(
+            {MODEL: self.version}, False, len(self.orders), 0, self.born_ms
+        )
 
     def send_order(self, order: WeightOrder, deadline: float) -> OrderOutcome:
         """Loads the ordered version immediately."""
@@ -401,6 +406,7 @@
     def __init__(
         self, target: MemoryTarget, request: ProxiedRequest, after: int
     ) -> None:
+        self.connected_at = SystemClock().monotonic()
         self._target = target
         self._born_ms = target.born_ms
         self._request_id = request.request_id
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -135,5 +135,26 @@
       | a is lost with engine t0, and b takes the job over |
       | a stops and hands the job over                     |
       | v1 has no engine left                              |
+      | t0 and t2 start again as v2, and lists show it 1 s later |
       | all instances are killed, and b takes the job over |
       | all instances are killed while v1 leaves, and b takes the job over |
+
+  # Guards against streams that are joined from two versions, since a list that
+  # lags names the old version for an engine that has started again.
+  Scenario: streams don't go on at engines that have started again as another version
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    And 24 streams of 60 events begin at a, and are cut after 10 events
+    When they are taken up at b and at c in turn, after the engines of v1 start again as v2, unseen
+    Then no stream holds events of two software versions
+    And all streams of v2 were whole at the end
+
+  # Guards against the same where the instance that began them had the old list.
+  Scenario: streams that begin at an engine that has started again don't go on at its old version
+    Given instances a, b and c before 4 engines of 12 places
+    And two of the engines have software version v1, and two v2
+    And engine t0 has started again as v2, and no list shows it
+    And 24 streams of 60 events begin at a, and are cut after 10 events
+    When they are taken up at b and at c in turn, after all lists show it
+    Then no stream holds events of two software versions
+    And each refusal says that the request has not run
--- a/features/steps/broken_streams_steps.py
+++ b/features/steps/broken_streams_steps.py
@@ -31,6 +31,13 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
 BEGUN = b"".join(b"id: %d\ndata: %c\n\n" % (n, 96 + n) for n in (1, 2, 3))
 STREAM_HEAD = "200 OK\r\nT: text/event-stream"
+STATE = (
+    b'{"models":[],"busy":false,"seq_no":0,"running":0,"waiting":0,"born":1}'
+)
+REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+    len(STATE),
+    STATE,
+)
 LINGER_NONE = struct.pack("ii", 1, 0)
 
 
@@ -87,6 +94,9 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
             while request := self._read_request(connection):
+                if request.startswith(b"GET /hibiscuspin/report"):
+                    connection.sendall(REPORT)
+                    continue
                 found = REQUEST_ID.search(request)
                 assert found is not None
                 answer = self._script.next()
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -28,6 +28,8 @@
 # How many more events a stream gets at each instance that takes it up.
 EVENTS_PER_TRY = 10
 BEGIN_S = 0.1
+# How much later than its start a target may be in all lists.
+LIST_LAG_S = 1.0
 STORED_S = 2.5 * SAVE_PERIOD_S
 REFUSALS_PASSED_OVER = 3
 
@@ -224,6 +226,13 @@
     kill_all_later(fleet)
 
 
+def restart_unseen(fleet: MemoryFleet, names: list[str]) -> None:
+    """Starts engines again under their names as v2; no list shows it yet."""
+    for name in names:
+        fleet.target_by_name[name].software_version = "v2"
+        fleet.target_by_name[name].born_ms += 1
+
+
 CHANGE_BY_EVENT: dict[str, Callable[[MemoryFleet], None]] = {
     "nothing else": lambda fleet: None,
     "a is killed": lambda fleet: fleet.kill("a"),
@@ -239,6 +248,10 @@
     "v1 has no engine left": lambda fleet: remove_version(fleet, "v1"),
     "c was cut off from the other instances": lambda fleet: cut_off(fleet, "c"),
     "all engines refuse for 0.5 s": refuse_all,
+    "the engines of v1 start again as v2, unseen": lambda fleet: restart_unseen(
+        fleet, engines_of(fleet, "v1")
+    ),
+    "all lists show it": lambda fleet: fleet.refresh_targets(),
 }
 
 
@@ -271,6 +284,11 @@
         target.fault = ""
 
 
+@given("engine {name} has started again as v2, and no list shows it")
+def restart_one(context: Any, name: str) -> None:
+    restart_unseen(context.memory, [name])
+
+
 @given("engines break streams off after {count:d} events")
 def break_streams(context: Any, count: int) -> None:
     for target in context.memory.target_by_name.values():
@@ -382,7 +400,11 @@
         break_streams(context, 25)
         return
     time.sleep(BEGIN_S)
-    if event.startswith("t0 and t2 are cleared"):
+    if event.startswith("t0 and t2 start again"):
+        restart_unseen(fleet, ["t0", "t2"])
+        time.sleep(LIST_LAG_S)
+        fleet.refresh_targets()
+    elif event.startswith("t0 and t2 are cleared"):
         context.memory.exchange_by_name["b"].clear_samples(
             ["t0", "t2"], MODEL, 0.5
         )
--- a/hibiscuspin/edges/discovery.py
+++ b/hibiscuspin/edges/discovery.py
@@ -135,9 +135,15 @@
 
 
 class EventStream(Protocol):
-    """The event stream of a generation in progress at one target."""
+    """The event stream of a generation in progress at one target.
+
+    Attributes:
+        headers: The headers of the target's response.
+        connected_at: When its connection was established, in monotonic time.
+    """
 
     headers: Sequence[tuple[str, str]]
+    connected_at: float
 
     def read(self, wait: WaitLimits) -> list[ServerSentEvent]:
         """Waits for events; returns an empty list at the end of the stream.
@@ -160,12 +166,15 @@
         accepted_orders: How many orders the target has accepted since it
             started.
         busy_requests: How many requests are running or queued.
+        born_ms: When this incarnation started, as in its registration; 0 if
+            it does not say.
     """
 
     version_by_model: Mapping[str, int]
     loading: bool
     accepted_orders: int
     busy_requests: int
+    born_ms: int = 0
 
 
 class WeightOrder(NamedTuple):
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -77,6 +77,7 @@
     raw: http.client.HTTPConnection
     retire_at: float
     idle_until: float
+    connected_at: float = 0.0
 
 
 class HttpStream:
@@ -94,6 +95,7 @@
         self._partial_line = b""
         self.status = response.status
         self.headers = response.headers
+        self.connected_at = connection.connected_at
 
     def read_lines(
         self, deadline: float, stall_s: float, check: Callable[[], None]
@@ -335,6 +337,9 @@
             self.set_timeout(connection, stall_s=limit_s, deadline=deadline)
             if connection.raw.sock is None:
                 self._connect(connection, min(limit_s, CONNECT_TIMEOUT_S))
+                connection = connection._replace(
+                    connected_at=self._clock.monotonic()
+                )
             if before_send is not None:
                 before_send()
             sent = True
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -325,6 +325,7 @@
                 bool(raw["busy"]),
                 fields.integer(raw, "seq_no"),
                 fields.integer(raw, "running") + fields.integer(raw, "waiting"),
+                fields.integer(raw, "born") if "born" in raw else 0,
             )
         except words.DECODE_ERRORS as error:
             raise TargetError(
@@ -387,6 +388,7 @@
         version = stream.headers.get(words.VERSION_HEADER) or "0"
         self._version = _parse_number(version)
         self.headers = _forwarded_headers(stream)
+        self.connected_at = stream.connected_at
 
     def read(self, wait: WaitLimits) -> list[ServerSentEvent]:
         """Waits for events; returns an empty list at the end of the stream."""
--- a/hibiscuspin/tasks/discovered.py
+++ b/hibiscuspin/tasks/discovered.py
@@ -82,6 +82,10 @@
         says_draining: Whether one of its responses said that it is draining.
             The list may show that later, or not at all.
         is_peer: Whether it is another instance, which chooses the target.
+        confirmation_lock: Held while the target is asked which incarnation it
+            is, and while the next two are read.
+        asked_at: When it was asked last, in monotonic time.
+        confirmed_at: When it was asked last and said that it is this one.
     """
 
     def __init__(
@@ -96,6 +100,8 @@
         self.client = client
         self.gone = False
         self.says_draining = False
+        self.confirmation_lock = threading.Lock()
+        self.asked_at = self.confirmed_at = -math.inf
         self.in_flight = 0
         self.health = ejection.Health()
         self.backoff_until = 0.0
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -23,6 +23,7 @@
 )
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.discovered import DiscoveredTarget, DiscoveredTargets
+from hibiscuspin.tasks.incarnations import serving_software
 from hibiscuspin.tasks.job_store import JobItem
 
 __all__ = ["RunLimits", "Sample", "SampleRun"]
@@ -165,7 +166,8 @@
         self._targets = targets
         self._limits = limits
         self._clock = clock
-        self._software = target.software
+        # What generates the events; None if that turns out to be unknown.
+        self._software: Software | None = target.software
         self.detail = ""
         self.created_at = clock.monotonic()
         self.first_event_at: float | None = None
@@ -193,7 +195,7 @@
             limits.oldest_version,
             version,
             limits.single_version,
-            self._software,
+            self.target.software,
         )
         if generated and not sample.events:
             self._log_dropped(generated)
@@ -204,6 +206,12 @@
             self._wait_limits(FIRST_EVENT_TIMEOUT_S),
         )
         try:
+            software = serving_software(self.target, stream, self._clock)
+            if sample.events and software != self._software:
+                raise TargetError(
+                    "target may have other software than listed", sent=True
+                )
+            self._software = software
             return self._read_events(stream)
         finally:
             stream.close()
@@ -214,7 +222,7 @@
             extra={
                 "request_id": self.sample.item.name,
                 "target": self.target.name,
-                "software_version": self._software.version,
+                "software_version": self.target.software.version,
                 "dropped_events": count,
             },
         )
--- a/hibiscuspin/tasks/stream_forwarding.py
+++ b/hibiscuspin/tasks/stream_forwarding.py
@@ -29,6 +29,7 @@
     DiscoveredTargets,
 )
 from hibiscuspin.tasks.forwarding import ForwardedCall
+from hibiscuspin.tasks.incarnations import serving_software
 from hibiscuspin.tasks.peer_targets import PeerTargets
 from hibiscuspin.tasks.stream_exchange import StreamExchange
 from hibiscuspin.tasks.target_limits import Purpose, Send
@@ -232,14 +233,17 @@
             return
         if self._target is None:
             return
+        if not self._call.route.resumable:
+            return
         request_id = self._call.request.request_id
-        self._begun_by = self._target.software
         if self._target.is_peer:
             found = self._origins.find_relayed(
                 request_id, self._target.record.name
             )
-            self._begun_by = found or UNKNOWN_SOFTWARE
-        if self._call.route.resumable and self._begun_by.version:
+        else:
+            found = self._serving_software()
+        self._begun_by = found or UNKNOWN_SOFTWARE
+        if self._begun_by.version:
             record = (
                 self._origins.record_relayed
                 if self._call.is_relayed
@@ -267,12 +271,37 @@
                 break
             self._tried.append(target.name)
             try:
-                return self._open(target)
+                headers = self._open(target)
             except TargetError as failure:
                 self._last_error = failure
                 self._record_failure(target, failure)
+                continue
+            if self._may_go_on():
+                return headers
+            self._last_error = TargetError(
+                f"target {target.name} may have other software than listed",
+                sent=True,
+            )
+            self.runs.failed(self._run, self._last_error)
+            self._close()
         raise self._start_error(self._last_error)
 
+    def _may_go_on(self) -> bool:
+        """Returns whether the open response may continue the stream."""
+        return self._begun_by is None or may_continue(
+            self._begun_by, self._serving_software()
+        )
+
+    def _serving_software(self) -> Software | None:
+        """Returns what generates the events of the open response."""
+        target, events = self._target, self._events
+        if target is None or events is None:
+            return None
+        if target.is_peer:
+            # The other instance has looked at it.
+            return self._begun_by
+        return serving_software(target, events, self._clock)
+
     def _start_request(self) -> DiscoveredTarget | None:
         """Returns the next target, once its request limit allows a request."""
         call = self._call
