--- a/hibiscuspin/guides/errors.py
+++ b/hibiscuspin/guides/errors.py
@@ -227,8 +227,10 @@
         "spend is justified.",
     ),
     ErrorKind.STOPPING: Guide(
-        "The instance is shutting down and accepts no new work.",
-        "Retry; the load balancer sends the request to another instance.",
+        "The instance is shutting down and accepts no new jobs, and no request "
+        "that would not end before.",
+        "Retry on a new connection; the load balancer sends the request to "
+        "another instance.",
         "If the load balancer keeps sending requests, check that it polls "
         "/readyz.",
     ),
