--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -15,45 +15,46 @@
     Then an entry with <field> <value> is refused with "<reason>"
 
     Examples:
-      | field   | value                      | reason                     |
-      | slots   | 10**400                    | slots: expected            |
-      | slots   | 2**70                      | slots: expected            |
-      | slots   | True                       | slots: expected            |
-      | slots   | 0                          | slots: expected            |
-      | slots   | 1.5                        | slots: expected            |
-      | born    | 2**70                      | born: expected             |
-      | born    | -1                         | born: expected             |
-      | born    | "1"                        | born: expected             |
-      | address | "10.0.0.1:99999"           | address: expected          |
-      | address | "10.0.0.1:0"               | address: port 0            |
-      | address | "10.0.0.1:7\u00b2"         | address:                   |
-      | address | "10.0.0.1\u0001:70"        | address:                   |
-      | address | "a" * 70 + ".example:70"   | address:                   |
-      | address | 7                          | address: expected          |
-      | address | None                       | address: expected          |
-      | models  | [{"name": "m", "version": 2**80}] | version: expected   |
-      | models  | [{"name": "m", "version": "1"}]   | version: expected   |
-      | models  | [7]                        | has no attribute           |
-      | models  | 7                          | not iterable               |
-      | version | 7                          | version: expected          |
-      | version | "x" * 300                  | version: expected          |
-      | service | "x" * 300                  | service: expected          |
-      | zone    | {}                         | zone: expected             |
-      | state   | []                         | state: expected            |
-      | state   | "gone"                     | state: expected            |
+      | field   | value                                                | reason            |
+      | slots   | a number of 400 digits                               | slots: expected   |
+      | slots   | 1180591620717411303424                               | slots: expected   |
+      | slots   | true                                                 | slots: expected   |
+      | slots   | 0                                                    | slots: expected   |
+      | slots   | 1.5                                                  | slots: expected   |
+      | born    | 1180591620717411303424                               | born: expected    |
+      | born    | -1                                                   | born: expected    |
+      | born    | "1"                                                  | born: expected    |
+      | address | "10.0.0.1:99999"                                     | address: expected |
+      | address | "10.0.0.1:0"                                         | address: port 0   |
+      | address | "10.0.0.1:7\u00b2"                                   | address:          |
+      | address | "10.0.0.1\u0001:70"                                  | address:          |
+      | address | "a.example:70"                                       | address:          |
+      | address | a text of 300 characters                             | address:          |
+      | address | 7                                                    | address: expected |
+      | address | null                                                 | address: expected |
+      | models  | [{"name": "m", "version": 1208925819614629174706176}] | version: expected |
+      | models  | [{"name": "m", "version": "1"}]                      | version: expected |
+      | models  | [7]                                                  | has no attribute  |
+      | models  | 7                                                    | not iterable      |
+      | version | 7                                                    | version: expected |
+      | version | a text of 300 characters                             | version: expected |
+      | service | a text of 300 characters                             | service: expected |
+      | zone    | {}                                                   | zone: expected    |
+      | state   | []                                                   | state: expected   |
+      | state   | "gone"                                               | state: expected   |
 
   Scenario Outline: an entry of odd bytes names no target
-    Then an entry of <bytes> is refused with "<reason>"
+    Then an entry that is <bytes> is refused with "<reason>"
 
     Examples:
-      | bytes                    | reason        |
-      | b"[" * 1000              | recursion     |
-      | b'{"a":' * 5000          | recursion     |
-      | b"\xff\xfe"              | malformed     |
-      | b""                      | truncated     |
-      | b"[1]"                   | expected a table |
-      | b"null"                  | expected a table |
-      | b'"' + b"x" * 70000 + b'"' | entry of    |
+      | bytes                 | reason           |
+      | lists in lists        | recursion        |
+      | objects in objects    | recursion        |
+      | no text               | malformed        |
+      | empty                 | truncated        |
+      | a list                | expected a table |
+      | null                  | expected a table |
+      | longer than any entry | entry of         |
 
   Scenario: an entry whose key can't be sent in a header names no target
     Then an entry under the key "a\r\nb" is refused with "key: expected"
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -51,6 +51,16 @@
     "bytes": b"\xff\xfe\x00",
 }
 
+ODD_BYTES = {
+    "lists in lists": b"[" * 1000,
+    "objects in objects": b'{"a":' * 5000,
+    "no text": b"\xff\xfe",
+    "empty": b"",
+    "a list": b"[1]",
+    "null": b"null",
+    "longer than any entry": b'"%s"' % (b"x" * 70_000),
+}
+
 
 @given("odd entries of each sort beside the targets")
 def put_entries(context: Any) -> None:
@@ -128,22 +138,26 @@
         raise AssertionError(f"{record} was taken for a target")
 
 
+def encode_odd(value: str) -> bytes:
+    """Returns the JSON that a cell of a table stands for."""
+    count = int(value.split()[3]) if value.startswith("a ") else 0
+    if value.startswith("a number"):
+        return b"1" * count
+    if value.startswith("a text"):
+        return b'"%s"' % (b"x" * count)
+    return value.encode()
+
+
 @then('an entry with {field:w} {value} is refused with "{reason}"')
 def check_field(context: Any, field: str, value: str, reason: str) -> None:
-    odd = eval(value)
-    raw = (
-        msgspec.json.encode({**ENTRY, field: "@"}).replace(
-            b'"@"', str(odd).encode()
-        )
-        if isinstance(odd, int) and not isinstance(odd, bool)
-        else msgspec.json.encode({**ENTRY, field: odd})
-    )
-    check_refused(f"{TARGET_PREFIX}t", raw, reason)
-
-
-@then('an entry of {value} is refused with "{reason}"')
-def check_bytes(context: Any, value: str, reason: str) -> None:
-    check_refused(f"{TARGET_PREFIX}t", eval(value), reason)
+    entry = msgspec.json.encode({**ENTRY, field: "@"})
+    odd = entry.replace(b'"@"', encode_odd(value))
+    check_refused(f"{TARGET_PREFIX}t", odd, reason)
+
+
+@then('an entry that is {what} is refused with "{reason}"')
+def check_bytes(context: Any, what: str, reason: str) -> None:
+    check_refused(f"{TARGET_PREFIX}t", ODD_BYTES[what], reason)
 
 
 @then('an entry under the key "{key}" is refused with "{reason}"')
