Keep unfinished ends from holding up the recovery of jobs

The loop that recovers jobs also repeats ends that the store did not confirm.

Now only an instance that has stopped the job repeats its end, after the takeovers, and not while the store doesn't respond directly.

--- a/hibiscuspin/tasks/job_ends.py
+++ b/hibiscuspin/tasks/job_ends.py
@@ -5,7 +5,6 @@
 """
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.edges import StoreError
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.job_store import (
@@ -30,6 +29,10 @@
         self._clock = clock
         self._unconfirmed: set[str] = set()
 
+    def finish_later(self, job: str) -> None:
+        """Keeps a job whose end failed, until a later call succeeds."""
+        self._unconfirmed.add(job)
+
     def unconfirmed(self) -> list[str]:
         """Returns the jobs whose end the store has not confirmed."""
         return list(self._unconfirmed)
@@ -37,8 +40,6 @@
     def mark(self, job: str, known: StoredHead | None) -> StoredHead:
         """Marks a job as ended; does nothing if it has ended.
 
-        A job whose end fails counts as unconfirmed until a later call succeeds.
-
         Args:
             job: The job's id.
             known: The last known head, also an old one; None if unknown.
@@ -50,11 +51,7 @@
             HibiscusError: `NOT_FOUND` if there is no such job.
             StoreError: The store could not be reached.
         """
-        try:
-            stored = self._mark(job, known)
-        except StoreError:
-            self._unconfirmed.add(job)
-            raise
+        stored = self._mark(job, known)
         self._unconfirmed.discard(job)
         if stored is None:
             raise HibiscusError(
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -106,8 +106,8 @@
         if now < self._finish_at:
             return
         try:
-            self._jobs.finish_ends()
             self._jobs.finish_adoptions()
+            self._jobs.finish_ends()
         except StoreError as error:
             self._finish_at = now + RETRY_S
             _log.info(
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -537,14 +537,16 @@
             raise _store_unavailable(error) from error
 
     def finish_ends(self) -> None:
-        """Finishes ends that the store did not confirm.
+        """Finishes ends of jobs of this instance that the store didn't confirm.
 
-        Such a job may have stopped here already, so nobody else would end or
-        run it.
+        Such a job has stopped here already, so nobody else would end or run it.
+        While the store does not respond directly, they are left for later.
 
         Raises:
             StoreError: The store could not be reached.
         """
+        if not self._store_is_reachable():
+            return
         for job in self._ends.unconfirmed():
             try:
                 self._mark_ended(job, self._held(job), None)
@@ -582,7 +584,12 @@
         """
         if local is not None:
             local.stop()
-        stored = self._ends.mark(job, local.stored if local else None)
+        try:
+            stored = self._ends.mark(job, local.stored if local else None)
+        except StoreError:
+            if local is not None:
+                self._ends.finish_later(job)
+            raise
         if local is not None:
             local.stored = stored
         # Without this call the holder goes on until it reads the head again.
