Say once when a call ends, and drop branches that decide nothing

Cause: the end of a call by its caller and route was worked out in the interface and again in the forwarder, the time of a read after its wait was a constant in two modules, and may_take had a branch for an instance that is not stopping, whose answer an earlier comparison gives.

Change: ForwardedCall.ends_by and READ_SLACK_S of the jobs serve both, the branch is gone, the end of a job is marked in one function, and a test builds its events in one place. No behaviour, bound or assertion changes.

--- a/features/steps/broken_streams_steps.py
+++ b/features/steps/broken_streams_steps.py
@@ -28,8 +28,6 @@
 SERVED_S = 5.0
 REQUEST_ID = re.compile(rb"X-Request-Id: (\S+)")
 LENGTH = re.compile(rb"Content-Length: (\d+)")
-EVENT = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
-BEGUN = b"".join(b"id: %d\ndata: %c\n\n" % (n, 96 + n) for n in (1, 2, 3))
 STREAM_HEAD = "200 OK\r\nT: text/event-stream"
 STATE = (
     b'{"models":[],"busy":false,"seq_no":0,"running":0,"waiting":0,"born":1}'
@@ -41,6 +39,12 @@
 LINGER_NONE = struct.pack("ii", 1, 0)
 
 
+def events_to(last: int) -> bytes:
+    """Returns the events 1 to `last`, with the letters from a on as data."""
+    numbers = range(1, last + 1)
+    return b"".join(b"id: %d\ndata: %c\n\n" % (n, 96 + n) for n in numbers)
+
+
 class Answer(NamedTuple):
     """A response, with how its connection goes on."""
 
@@ -168,7 +172,7 @@
 
 @given("engines of which the first one breaks off after 3 events")
 def set_first(context: Any) -> None:
-    context.first = Answer(STREAM_HEAD, BEGUN, "a reset")
+    context.first = Answer(STREAM_HEAD, events_to(3), "a reset")
 
 
 @given('the others answer with "{head}", "{body}" and {end}')
@@ -200,10 +204,7 @@
 
 @then("it has got events 1 to {last:d}")
 def check_events(context: Any, last: int) -> None:
-    expected = b"".join(
-        b"id: %d\ndata: %c\n\n" % (n, 96 + n) for n in range(1, last + 1)
-    )
-    assert context.received == expected, context.received
+    assert context.received == events_to(last), context.received
 
 
 @then("its stream is {outcome}")
--- a/hibiscuspin/decisions/stopping.py
+++ b/hibiscuspin/decisions/stopping.py
@@ -6,8 +6,6 @@
 tries another instance. Requests that end in time are served.
 """
 
-import math
-
 __all__ = ["may_take"]
 
 # Few requests take longer than this many times the longest recent one.
@@ -34,6 +32,4 @@
         return False
     if limit_s <= left_s:
         return True
-    if longest_s is None:
-        return stop_by == math.inf
-    return longest_s * DURATION_MARGIN <= left_s
+    return longest_s is not None and longest_s * DURATION_MARGIN <= left_s
--- a/hibiscuspin/platform/callers.py
+++ b/hibiscuspin/platform/callers.py
@@ -20,7 +20,7 @@
 from hibiscuspin.platform.responses import StartResponse, send_response
 from hibiscuspin.tasks.forwarding import ForwardedCall, Forwarder
 from hibiscuspin.tasks.job_store import JobContents
-from hibiscuspin.tasks.jobs import Jobs
+from hibiscuspin.tasks.jobs import READ_SLACK_S, Jobs
 from hibiscuspin.tasks.route_table import Routes
 from hibiscuspin.tasks.stopping import PlannedStop
 from hibiscuspin.tasks.stream_forwarding import StreamForwarder
@@ -35,8 +35,6 @@
 # Clients leave 1.5 s after the wait that they asked for; slower reads than
 # this are logged.
 SLOW_READ_S = 0.5
-# How long a read takes after its wait, also if the holder does not respond.
-READ_S = 1.3
 
 _log = get_logger("callers")
 
@@ -188,7 +186,7 @@
             incoming.header(words.WAIT_MS_HEADER) or "0", words.WAIT_MS_HEADER
         )
         started = self._clock.monotonic()
-        until_stop_s = max(0.0, self._stop.answer_by - READ_S - started)
+        until_stop_s = max(0.0, self._stop.answer_by - READ_SLACK_S - started)
         wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S, until_stop_s)
         results = self._jobs.results(
             job, after, wait_s, requester, incoming.disconnected
@@ -289,7 +287,7 @@
         )
 
     def _forward(self, call: ForwardedCall) -> Response:
-        self._stop.check(call.route.name, _ends_by(call))
+        self._stop.check(call.route.name, call.ends_by)
         response = self._forwarder.forward(call)
         self._record_duration(call)
         return Response(response.status, "", response.body, response.headers)
@@ -368,10 +366,6 @@
         return response._replace(headers=headers)
 
 
-def _ends_by(call: ForwardedCall) -> float:
-    return min(call.deadline, call.arrived_at + call.route.timeout_s)
-
-
 def _parse_request(environ: dict[str, Any]) -> _IncomingRequest:
     headers = {
         name[5:].replace("_", "-").title(): value
--- a/hibiscuspin/platform/fields.py
+++ b/hibiscuspin/platform/fields.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-__all__ = ["MAX_INTEGER", "integer", "name", "text"]
+__all__ = ["MAX_INTEGER", "integer", "name", "shown", "text"]
 
 # The largest integer that every JSON library keeps exact.
 MAX_INTEGER = 2**53
--- a/hibiscuspin/tasks/forwarding.py
+++ b/hibiscuspin/tasks/forwarding.py
@@ -99,6 +99,11 @@
         """Whether it takes up a stream whose first events its caller has."""
         return bool(self.resumes or self.resumed_after)
 
+    @property
+    def ends_by(self) -> float:
+        """When it has to end by its caller and its route, in monotonic time."""
+        return min(self.deadline, self.arrived_at + self.route.timeout_s)
+
     @property
     def counted_for(self) -> str:
         """The organisation whose usage it is; empty for none.
@@ -289,12 +294,7 @@
 
     @property
     def _deadline(self) -> float:
-        call = self._call
-        return min(
-            call.deadline,
-            call.arrived_at + call.route.timeout_s,
-            self._forwarder._stop_by(),
-        )
+        return min(self._call.ends_by, self._forwarder._stop_by())
 
     def run(self) -> ProxiedResponse:
         service = self._call.service
--- a/hibiscuspin/tasks/job_ends.py
+++ b/hibiscuspin/tasks/job_ends.py
@@ -51,15 +51,6 @@
             HibiscusError: `NOT_FOUND` if there is no such job.
             StoreError: The store could not be reached.
         """
-        stored = self._mark(job, known)
-        self._unconfirmed.discard(job)
-        if stored is None:
-            raise HibiscusError(
-                ErrorKind.NOT_FOUND, f"Job {job} does not exist."
-            )
-        return stored
-
-    def _mark(self, job: str, known: StoredHead | None) -> StoredHead | None:
         deadline = self._clock.monotonic() + END_TIMEOUT_S
         stored = known or self._store.head(job, deadline)
         while stored is not None and not stored.head["ended"]:
@@ -76,4 +67,9 @@
                         "holder": stored.head["holder"] if stored else "",
                     },
                 )
+        self._unconfirmed.discard(job)
+        if stored is None:
+            raise HibiscusError(
+                ErrorKind.NOT_FOUND, f"Job {job} does not exist."
+            )
         return stored
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -55,7 +55,7 @@
     limit_size,
 )
 
-__all__ = ["Jobs"]
+__all__ = ["READ_SLACK_S", "Jobs"]
 
 ACCEPT_METHOD = "jobs.accept"
 ADOPT_METHOD = "jobs.adopt"
