--- a/review/second/engine.py
+++ b/review/second/engine.py
@@ -77,7 +77,7 @@
     def _events(
         self, item: str, path: str, after: int, version: int
     ) -> Iterator[bytes]:
-        self._running += 1
+        self._count(1)
         try:
             last = _count_events(path, version)
             for number in range(after + 1, last + 1):
@@ -88,7 +88,11 @@
                     self._run_records.append(row)
                 yield f"id: {number}\ndata: {data}\n\n".encode()
         finally:
-            self._running -= 1
+            self._count(-1)
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._running += change
 
 
 def main() -> None:
