--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks that all programs of the cases 6 to 8 start; none has to be compiled.
+# Checks that all programs of the cases 6 to 9 start; none has to be compiled.
 # It needs the packages that the build of the deploy file puts in target/deps.
 set -eu
 cd "$(dirname "$0")/.."
