--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -169,11 +169,17 @@
         model: str = "",
         slots: int = 16,
         module: str = "standins.platform_engine",
+        advertised: str = "",
     ) -> None:
-        """Starts a model engine, or a plain service without a model."""
+        """Starts a model engine, or a plain service without a model.
+
+        Its registration names the address of `advertised`, if that is given.
+        """
         flags = ["--name", name, "--service", service, "--zone", "zone-a"]
         flags += ["--store", self.address("store"), "--model", model]
         flags += ["--slots", str(slots)]
+        if advertised:
+            flags += ["--advertised", self.address(advertised)]
         argv = ("-m", module, "--address")
         self.spawn(name, *argv, self.address(name), *flags)
 
@@ -317,12 +323,17 @@
         )
 
     def submit(
-        self, name: str, job: str, items: list[dict[str, Any]], groups: int
+        self,
+        name: str,
+        job: str,
+        items: list[dict[str, Any]],
+        groups: int,
+        model: str = MODEL,
     ) -> int:
         """Submits a batch job at an instance; returns the status."""
         body = {
             "step": 0,
-            "model": MODEL,
+            "model": model,
             "min_version": 1,
             "group_count": groups,
             "items": items,
@@ -393,12 +404,14 @@
     }
 
 
-def item(job: str, group: int, number: int, events: int) -> dict[str, Any]:
+def item(
+    job: str, group: int, number: int, events: int, model: str = MODEL
+) -> dict[str, Any]:
     """Returns an item of a batch job."""
     return {
         "id": f"{job}-{group}-{number}",
         "path": "/jobs/x",
-        "headers": {"X-Model": MODEL, "X-Token-Count": f"9,{events}"},
+        "headers": {"X-Model": model, "X-Token-Count": f"9,{events}"},
         "body": base64.b64encode(b"prompt").decode(),
         "tokens": 9 + events,
         "group": f"{job}-{group}",
