Run a job whose takeover the store did not confirm

Trainers saw steps that no engine worked on and that were never listed, after their holder was killed while the store lost answers. The same held for a job whose creation took effect late and for one whose control thread had failed.

Takeovers and creations of unknown outcome are kept with their samples and read again; a job is run if its head names the instance. So a job goes on whatever led there.

--- a/features/steps/platform_jobs_steps.py
+++ b/features/steps/platform_jobs_steps.py
@@ -519,7 +519,7 @@
 
 @when("b finishes its takeovers")
 def finish_takeovers(context: Any) -> None:
-    context.memory.jobs_by_name["b"].finish_adoptions()
+    context.memory.jobs_by_name["b"].finish_takeovers()
 
 
 @then("only b holds the job")
@@ -573,7 +573,7 @@
         futures = [executor.submit(jobs.adopt, JOB) for _ in range(count)]
         for _ in range(5):
             time.sleep(seconds / 2)
-            jobs.finish_adoptions()
+            jobs.finish_takeovers()
         assert all(future.result() for future in futures)
 
 
--- a/hibiscuspin/decisions/recovery.py
+++ b/hibiscuspin/decisions/recovery.py
@@ -7,6 +7,9 @@
 Load pattern: all instances are killed and restart together. The first one to
 register gets the coordinator's duty and knows of no other instance; the
 holders reclaim their own jobs a moment later.
+
+Load pattern: the store loses answers while jobs are created or taken over. The
+instance that a head names may then not know of its job, although it lives.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -17,6 +20,7 @@
 __all__ = [
     "StoredJob",
     "LiveInstance",
+    "assigned_jobs",
     "expired_jobs",
     "may_reclaim",
     "orphaned_jobs",
@@ -70,6 +74,18 @@
     ]
 
 
+def assigned_jobs(
+    jobs: Sequence[StoredJob], members_by_name: Mapping[str, LiveInstance]
+) -> dict[str, list[str]]:
+    """Returns the unfinished jobs of live instances, by instance."""
+    jobs_by_holder: dict[str, list[str]] = {}
+    for job in jobs:
+        member = members_by_name.get(job.holder)
+        if job.unfinished and member is not None and member.term == job.term:
+            jobs_by_holder.setdefault(job.holder, []).append(job.job)
+    return jobs_by_holder
+
+
 def may_reclaim(
     orphan: StoredJob,
     last_known: LiveInstance | None,
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -106,7 +106,7 @@
         if now < self._finish_at:
             return
         try:
-            self._jobs.finish_adoptions()
+            self._jobs.finish_takeovers()
             self._jobs.finish_ends()
         except StoreError as error:
             self._finish_at = now + RETRY_S
@@ -147,7 +147,7 @@
                 stop.wait(RETRY_S)
 
     def sweep(self) -> None:
-        """Reassigns orphaned jobs and deletes expired ones, once.
+        """Reassigns orphaned jobs, confirms the others, deletes expired ones.
 
         Raises:
             StoreError: The store could not be reached.
@@ -180,6 +180,8 @@
                     organisation_by_job[orphan.job], members
                 )
                 self._reassign(orphan, able, jobs_by_holder)
+        for name, assigned in recovery.assigned_jobs(jobs, members).items():
+            self._jobs.confirm_assigned(members[name], assigned)
         wall = self._clock.wall()
         for job in recovery.expired_jobs(jobs, self._retention_s, wall):
             self._store.delete(job.job, now + STORE_TIMEOUT_S)
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -59,6 +59,7 @@
 
 ACCEPT_METHOD = "jobs.accept"
 ADOPT_METHOD = "jobs.adopt"
+ASSIGNED_METHOD = "jobs.assigned"
 END_METHOD = "jobs.end"
 HOLDS_METHOD = "jobs.holds"
 ITEM_METHOD = "jobs.item"
@@ -89,6 +90,7 @@
 # Readers wait 1.5 s longer than the `wait_s` they send; the rest of that time
 # is for the response to them.
 READ_SLACK_S = 1.3
+ASSIGNED_TIMEOUT_S = 0.3
 # How often an instance that reaches no target offers its jobs to others.
 EVACUATION_PERIOD_S = 1.5
 ADOPT_TIMEOUT_S = 2.5
@@ -157,14 +159,16 @@
         self._evacuate_at = float("-inf")
         # Jobs whose takeover is in progress.
         self._adopting: set[str] = set()
-        # Jobs that the store assigns to this instance but that don't run yet.
-        self._adoptions_to_finish: set[str] = set()
+        # Jobs that the store may assign to this instance but that don't run
+        # here, with the samples that their previous holder sent.
+        self._unfinished_takeovers: dict[str, SavedSamples] = {}
 
     def handlers(self) -> dict[str, PeerCallHandler]:
         """Returns the handlers of calls from other instances, by method."""
         return {
             ACCEPT_METHOD: self._serve_accept,
             ADOPT_METHOD: self._serve_adopt,
+            ASSIGNED_METHOD: self._serve_assigned,
             END_METHOD: self._serve_end,
             HOLDS_METHOD: self._serve_holds,
             ITEM_METHOD: self._serve_item,
@@ -365,6 +369,9 @@
             self._start(
                 LocalJob(contents, stored, (), route, self._dependencies)
             )
+        elif self._is_held_here(stored.head):
+            # An earlier attempt created it, and did not learn of that.
+            self._finish_later(contents.job)
         _log.info(
             "Job accepted.",
             extra={
@@ -431,11 +438,10 @@
                 "reason": reason,
             },
         )
-        kind = (
-            ErrorKind.STORE_UNAVAILABLE
-            if applied is False
-            else ErrorKind.OUTCOME_UNKNOWN
-        )
+        kind = ErrorKind.STORE_UNAVAILABLE
+        if applied is None:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            self._finish_later(contents.job)
         raise HibiscusError(kind, "The store did not confirm the new job.")
 
     def _is_held_here(self, head: JobHead) -> bool:
@@ -444,6 +450,9 @@
 
     def _start(self, job: LocalJob) -> None:
         with self._lock:
+            running = self._job_by_id.get(job.contents.job)
+            if running is not None and not running.released:
+                return
             self._job_by_id[job.contents.job] = job
             self._held_bytes = self._sum_held()
         self._control_threads.submit(job.run)
@@ -644,6 +653,7 @@
         sent: SavedSamples | None = None,
         *,
         from_itself: bool = False,
+        only_assigned: bool = False,
     ) -> bool:
         """Takes over a job from the store; returns whether it is held here.
 
@@ -652,6 +662,8 @@
             sent: The unpublished samples, as the previous holder sent them.
             from_itself: Whether this instance has just stopped the job. The
                 new head fences what that one still writes.
+            only_assigned: Whether to leave a job alone that the store does
+                not assign to this instance.
 
         Raises:
             StoreError: The store could not be reached.
@@ -666,16 +678,27 @@
                 return True
             self._adopting.add(job)
         try:
-            return self._adopt(job, sent or SavedSamples(), from_itself)
+            return self._adopt(
+                job, sent or SavedSamples(), from_itself, only_assigned
+            )
         finally:
             with self._lock:
                 self._adopting.discard(job)
 
-    def _adopt(self, job: str, sent: SavedSamples, from_itself: bool) -> bool:
+    def _adopt(
+        self,
+        job: str,
+        sent: SavedSamples,
+        from_itself: bool,
+        only_assigned: bool,
+    ) -> bool:
         deadline = self._clock.monotonic() + ADOPT_TIMEOUT_S
         stored = self._store.head(job, deadline)
         if stored is None or stored.head["ended"] or stored.head["done"]:
             return False
+        is_assigned = self._is_held_here(stored.head)
+        if only_assigned and not is_assigned:
+            return False
         contents = self._store.contents(job, stored.head["parts"], deadline)
         route_and_service = self._dependencies.route_of(contents)
         if route_and_service is None:
@@ -685,7 +708,7 @@
             )
             return False
         previous_holder = stored.head["holder"]
-        if from_itself or not self._is_held_here(stored.head):
+        if from_itself or not is_assigned:
             member = self._instances.member
             head: JobHead = {
                 **stored.head,
@@ -696,12 +719,16 @@
                 stored = self._store.replace_head(job, stored, head, deadline)
             except FencedError:
                 return False
+            except StoreError:
+                # The write may take effect without a response.
+                self._finish_later(job, sent)
+                raise
         try:
             published = self._store.results(job, deadline)
             saved = self._store.load_samples(job, deadline)
         except StoreError:
             # Nobody else takes the job over from this live instance.
-            self._adoptions_to_finish.add(job)
+            self._finish_later(job, sent)
             raise
         saved = _merge_samples(saved, sent)
         local = LocalJob(
@@ -726,15 +753,58 @@
         )
         return True
 
-    def finish_adoptions(self) -> None:
-        """Finishes takeovers that failed after the job was assigned here.
+    def _finish_later(self, job: str, sent: SavedSamples | None = None) -> None:
+        """Notes a job that the store may assign to this instance."""
+        self._unfinished_takeovers.setdefault(job, sent or SavedSamples())
+
+    def finish_takeovers(self) -> None:
+        """Runs the jobs whose assignment to this instance was not confirmed.
 
         Raises:
             StoreError: The store could not be reached.
         """
-        for job in list(self._adoptions_to_finish):
-            self.adopt(job)
-            self._adoptions_to_finish.discard(job)
+        for job in list(self._unfinished_takeovers):
+            sent = self._unfinished_takeovers.pop(job)
+            try:
+                self.adopt(job, sent, only_assigned=True)
+            except StoreError:
+                self._finish_later(job, sent)
+                raise
+
+    def confirm_assigned(
+        self, member: LiveInstance, jobs: Sequence[str]
+    ) -> None:
+        """Tells a live instance which unfinished jobs the store assigns to it.
+
+        An instance may not know that: the answer to a write was lost, a write
+        took effect late, or the thread of a job failed.
+        """
+        if member.name == self._instances.member.name:
+            self._take_up_assigned(jobs)
+            return
+        body = msgspec.msgpack.encode(jobs)
+        try:
+            self._peers.call(
+                member.address, ASSIGNED_METHOD, body, ASSIGNED_TIMEOUT_S
+            )
+        except (PeerUnreachableError, HibiscusError) as error:
+            _log.info(
+                "Instance was not told which jobs are assigned to it.",
+                extra={"peer": member.name, "reason": str(error)},
+            )
+
+    def _take_up_assigned(self, jobs: Sequence[str]) -> None:
+        # An isolated instance hands its jobs over.
+        if self._stopping or self._reach.is_isolated:
+            return
+        for job in jobs:
+            local = self._job_by_id.get(job)
+            if local is None or local.released:
+                _log.warning(
+                    "Job is assigned to this instance but does not run here.",
+                    extra={"job": job},
+                )
+                self._finish_later(job)
 
     def own_unfinished(self) -> list[str]:
         """Returns the jobs that this instance held before it restarted.
@@ -790,9 +860,9 @@
             is_taken = self._hand_over_job(local, saved, jobs_by_holder)
             self._drop(job, local)
             if not is_taken:
-                self._adoptions_to_finish.add(job)
+                self._finish_later(job, saved)
                 self.adopt(job, saved, from_itself=True)
-                self._adoptions_to_finish.discard(job)
+                self._unfinished_takeovers.pop(job, None)
 
     def _hand_over_job(
         self,
@@ -1018,6 +1088,10 @@
         job = msgspec.msgpack.decode(body, type=str)
         return msgspec.msgpack.encode(self._runs(job))
 
+    def _serve_assigned(self, body: bytes) -> bytes:
+        self._take_up_assigned(msgspec.msgpack.decode(body, type=list[str]))
+        return b""
+
     def _serve_adopt(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_AdoptRequest)
         if self._reach.is_doubtful and self._held(request.job) is None:
