Send a repeated request on a connection that has not carried it

Responses are told apart by X-Request-Id, and all runs of an item have the same id. The next run took the connection of the failed one, on which the engine's late second copy of the first answer came in place of its own.

Connections remember the ids of their last calls, and a call does not take one that carried its id, so a copy only ever meets a call with another id. State reports and orders, which have no id, refuse responses that have one.

--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -11,7 +11,11 @@
 from features.steps.http_client_steps import RawServer, no_check
 from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.edges import TargetError, WaitLimits
-from hibiscuspin.edges.discovery import ProxiedRequest, TargetRecord
+from hibiscuspin.edges.discovery import (
+    ProxiedRequest,
+    TargetRecord,
+    WeightOrder,
+)
 from hibiscuspin.platform.engines import EngineClient
 
 CALL_TIMEOUT_S = 2.0
@@ -22,11 +26,13 @@
     """Sends the first response of a connection again, before the second.
 
     Attributes:
-        connection_by_request: The connection on which each request came.
+        connection_by_request: The connection on which each request came last.
+        connections_used: The connection of each request, in their order.
     """
 
     def __init__(self, response: bytes) -> None:
         self.connection_by_request: dict[str, int] = {}
+        self.connections_used: list[int] = []
         super().__init__(response, True)
 
     def _serve(self, connection: socket.socket) -> None:
@@ -37,8 +43,11 @@
                 found = REQUEST_ID.search(data)
                 if found is None:
                     # A request's body may arrive apart from its head.
+                    if b"/hibiscuspin/" in data:
+                        connection.sendall(first)
                     continue
                 self.connection_by_request[found[1].decode()] = number
+                self.connections_used.append(number)
                 # The response to a later request follows the copy, if at all.
                 first = first or (
                     b"HTTP/1.1 %s\r\nX-Request-Id: %s\r\n"
@@ -87,6 +96,46 @@
     send(context, kind, "third")
 
 
+@when("it gets the same {kind} {count:d} times")
+def send_again(context: Any, kind: str, count: int) -> None:
+    request = ProxiedRequest("first", "POST", "/x", {}, b"b")
+    for _ in range(count):
+        if kind == "call":
+            deadline = monotonic() + CALL_TIMEOUT_S
+            assert context.client.send(request, deadline, no_check).status
+        else:
+            assert send(context, kind, "first").status
+
+
+@then("each of them came on a connection of its own")
+def check_own_connections(context: Any) -> None:
+    used = context.server.connections_used
+    assert len(set(used)) == len(used), used
+
+
+@when("it gets a call that it rejects, and a state report")
+def send_and_read_state(context: Any) -> None:
+    assert send(context, "call", "first").refused
+    try:
+        context.client.fetch_state(monotonic() + CALL_TIMEOUT_S)
+    except TargetError as error:
+        context.error = error
+        return
+    raise AssertionError("a copy was taken for a state report")
+
+
+@when("it gets a call that it rejects, and an order")
+def send_and_order(context: Any) -> None:
+    assert send(context, "call", "first").refused
+    order = WeightOrder("m", 2, False, "a", 1, 0)
+    try:
+        context.client.send_order(order, monotonic() + CALL_TIMEOUT_S)
+    except TargetError as error:
+        context.error = error
+        return
+    raise AssertionError("a copy was taken for the outcome of an order")
+
+
 @then("the other one counts as one that may have run")
 def check_unknown(context: Any) -> None:
     error = context.error
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import threading
+from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -34,6 +35,8 @@
 
 MAX_CONNECTION_AGE_S = 60.0
 MAX_IDLE_CONNECTIONS = 16
+# A late copy of a response takes the place of one of the next few.
+REMEMBERED_CALLS = 16
 DRAINING_STATUS = 503
 DRAINING_MARKER = b'"draining"'
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -66,11 +69,19 @@
 
 
 class HttpResponse(NamedTuple):
-    """A complete response."""
+    """A complete response.
+
+    Attributes:
+        status: The status code.
+        headers: The headers.
+        body: The body.
+        carried_call_ids: The ids of the last calls on its connection.
+    """
 
     status: int
     headers: http.client.HTTPMessage
     body: bytes
+    carried_call_ids: frozenset[str] = frozenset()
 
     def json(self) -> object:
         """Decodes the body as JSON."""
@@ -86,6 +97,8 @@
     raw: http.client.HTTPConnection
     retire_at: float
     idle_until: float
+    # The ids of its last calls.
+    call_ids: deque[str]
     connected_at: float = 0.0
 
 
@@ -107,6 +120,11 @@
         self.headers = response.headers
         self.connected_at = connection.connected_at
 
+    @property
+    def carried_call_ids(self) -> frozenset[str]:
+        """The ids of the last calls on its connection, with its own."""
+        return frozenset(self._connection.call_ids)
+
     def read_lines(
         self, deadline: float, stall_s: float, check: Callable[[], None]
     ) -> list[bytes]:
@@ -338,7 +356,9 @@
             data = stream.read(
                 WaitLimits(deadline, limit_s, check or do_nothing)
             )
-            return HttpResponse(stream.status, stream.headers, data)
+            return HttpResponse(
+                stream.status, stream.headers, data, stream.carried_call_ids
+            )
         finally:
             stream.close()
 
@@ -353,6 +373,7 @@
         stall_s: float | None = None,
         check: Callable[[], None] | None = None,
         fresh: bool = False,
+        call_id: str = "",
         before_send: Callable[[], None] | None = None,
     ) -> HttpStream:
         """Sends one request and returns once the response headers arrived.
@@ -368,6 +389,10 @@
             check: Called while waiting; may raise an exception to end the
                 wait.
             fresh: Whether to use a new connection.
+            call_id: The id by which its response is recognised, if any. A
+                connection that carried a call with this id is not used: a
+                late copy of that call's response would be taken for this
+                one's.
             before_send: Called when a connection is established; may raise an
                 exception to send nothing.
 
@@ -375,7 +400,7 @@
             TargetError: The request failed; `sent` is False only if no
                 connection was established.
         """
-        connection = self._acquire(deadline, fresh)
+        connection = self._acquire(deadline, fresh, call_id)
         with self._lock:
             self._in_use.add(connection.raw)
         # Taken as a duration, the deadline exceeds the remaining time, so it
@@ -554,22 +579,40 @@
                 return
         connection.raw.close()
 
-    def _acquire(self, deadline: float, fresh: bool) -> _Connection:
+    def _acquire(
+        self, deadline: float, fresh: bool, call_id: str
+    ) -> _Connection:
         now = self._clock.monotonic()
         if deadline <= now or self._aborted:
             raise TargetError("deadline passed or client aborted", sent=False)
+        connection = None if fresh else self._take_idle(now, call_id)
+        if connection is None:
+            connection = self._create_connection(deadline, now)
+        if call_id:
+            connection.call_ids.append(call_id)
+        return connection
+
+    def _take_idle(self, now: float, call_id: str) -> _Connection | None:
+        """Takes the last used connection that may carry a call, if any."""
         with self._lock:
-            while self._idle and not fresh:
-                connection = self._idle.pop()
+            for index in reversed(range(len(self._idle))):
+                connection = self._idle[index]
+                if call_id and call_id in connection.call_ids:
+                    continue
+                del self._idle[index]
                 retire_at = min(connection.retire_at, connection.idle_until)
                 if retire_at > now and _is_reusable(connection.raw):
                     return connection
                 connection.raw.close()
+        return None
+
+    def _create_connection(self, deadline: float, now: float) -> _Connection:
         raw = http.client.HTTPConnection(
             self._address.host, self._address.port, timeout=deadline - now
         )
         retire_at = now + MAX_CONNECTION_AGE_S
-        return _Connection(raw, retire_at, retire_at)
+        call_ids: deque[str] = deque(maxlen=REMEMBERED_CALLS)
+        return _Connection(raw, retire_at, retire_at, call_ids)
 
 
 def do_nothing() -> None:
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -197,6 +197,7 @@
             stall_s=stall_s,
             check=check,
             fresh=fresh,
+            call_id=request.request_id,
         )
         self._check_identity(request, stream)
         self._check_draining(stream)
@@ -219,17 +220,40 @@
         if echoed == request.request_id:
             return
         stream.discard()
+        raise self._foreign_response(stream, request.request_id)
+
+    def _check_no_identity(self, response: HttpResponse) -> None:
+        """Checks that a response does not belong to a caller's request.
+
+        Reports and orders have no id, so a response with that of a call that
+        the connection has carried is a late copy.
+
+        Raises:
+            TargetError: The response has such an id.
+        """
+        found = response.headers.get(words.REQUEST_ID_HEADER)
+        if found in response.carried_call_ids:
+            raise self._foreign_response(response, "")
+
+    def _foreign_response(
+        self, response: HttpStream | HttpResponse, request_id: str
+    ) -> TargetError:
+        """Closes the idle connections; returns the error of the call.
+
+        The response to the call may follow on its connection.
+        """
         self._client.close_idle()
+        found = response.headers.get(words.REQUEST_ID_HEADER) or ""
         _log.warning(
             "Response to another request.",
             extra={
                 "target": self._name,
-                "request_id": request.request_id,
-                "found": (echoed or "")[:MAX_LOGGED_CHARS],
-                "status": stream.status,
+                "request_id": request_id,
+                "found": found[:MAX_LOGGED_CHARS],
+                "status": response.status,
             },
         )
-        raise TargetError("response to another request", sent=True)
+        return TargetError("response to another request", sent=True)
 
     def _caller_headers(self, request: ProxiedRequest) -> Mapping[str, str]:
         """Returns the caller's headers that may leave this instance.
@@ -320,6 +344,7 @@
             headers={words.EXPECTED_TARGET_HEADER: self._name},
             check=do_nothing,
         )
+        self._check_no_identity(response)
         self._check_draining(response)
         self._check_limit(response, 0.0, may_end=False)
         raw = _decode_body(response)
@@ -362,6 +387,7 @@
             },
             check=do_nothing,
         )
+        self._check_no_identity(response)
         self._check_draining(response)
         self._check_limit(response, 0.0, may_end=False)
         detail = (
