Take the record of a sample's newest text whole

Trainers got results with the first part of a text that their sample had left: it had begun anew under new weights, and the step's holder was then stopped. The next holder joined the longer events, those of the abandoned text in the store, with the "complete" that the previous holder had sent.

A record says how often its text was begun anew. The later text wins whatever its length, and the record is taken whole. The number goes through the store and through hand-overs, in parts that earlier builds leave alone; the call that hands a job over has a format that can grow, and falls back to the earlier one.

In features/hand_overs.feature the scenarios of one and two planned stops failed before with nine events of the earlier text in place of five.

--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -9,6 +9,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+import msgspec
+
 from features.memory_links import LinkedStream, MemoryPeerClient, TargetLinks
 from hibiscuspin.clock import SystemClock
 from hibiscuspin.decisions.recovery import LiveInstance
@@ -35,6 +37,7 @@
     CommitResult,
     LeaseGrant,
     LeaseLostError,
+    PutOperation,
     ScanResult,
     StoredValue,
     Transaction,
@@ -182,6 +185,18 @@
             stored.pop(key, None)
         return CommitResult(self._revision)
 
+    def write(self, key: str, value: object) -> int:
+        """Writes a value in JSON without a condition; returns its revision."""
+        put = PutOperation(key, msgspec.json.encode(value))
+        outcome = self._apply(Transaction({}, (put,)))
+        assert isinstance(outcome, CommitResult)
+        return outcome.revision
+
+    def rewrite(self, key: str) -> None:
+        """Writes the value that a key has, so that it gets a new revision."""
+        put = PutOperation(key, self._value_by_key[key].value)
+        self._apply(Transaction({}, (put,)))
+
     def grant_lease(self, ttl_s: float, deadline: float) -> LeaseGrant:
         """Creates a lease."""
         self._check()
--- a/features/steps/broken_streams_steps.py
+++ b/features/steps/broken_streams_steps.py
@@ -16,6 +16,7 @@
 from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.decisions.routes import CallKind
 from hibiscuspin.decisions.samples import SampleEvent
+from hibiscuspin.decisions.saved_samples import SavedSample
 from hibiscuspin.edges import TargetError
 from hibiscuspin.edges.discovery import TargetRecord
 from hibiscuspin.errors import HibiscusError
@@ -224,9 +225,8 @@
     assert target is not None
     item = JobItem("c0", "/c/x", {}, b"b", "g", 10.0)
     context.sample = Sample(0, item)
-    context.sample.events = [
-        SampleEvent(n, str(n), 1, target.software) for n in (1, 2, 3)
-    ]
+    events = [SampleEvent(n, str(n), 1, target.software) for n in (1, 2, 3)]
+    context.sample.restore(SavedSample(events))
     now = monotonic()
     limits = RunLimits("h", MODEL, 1, False, now, now + SERVED_S, lambda: False)
     run = SampleRun(
--- /dev/null
+++ b/features/steps/hand_overs_steps.py
@@ -0,0 +1,153 @@
+"""Steps on what a job's holder leaves to the next one."""
+
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+
+from features.platform_fakes import MemoryStore
+from features.steps.platform_jobs_steps import JOB
+from hibiscuspin.clock import SystemClock, monotonic
+from hibiscuspin.decisions.samples import SampleEvent
+from hibiscuspin.decisions.saved_samples import SavedSample, merge
+from hibiscuspin.decisions.software import Software
+from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.tasks import jobs as jobs_task
+from hibiscuspin.tasks.job_store import (
+    JobHead,
+    JobStore,
+    SavedSamples,
+    StoredHead,
+)
+
+WRITE_TIMEOUT_S = 1.0
+ENDS = {"incomplete": None, "complete": "", "with a score": "0.5"}
+SOFTWARE = Software("s", "v1")
+
+
+def events_of(text: int, count: int, name: str = "i") -> list[SampleEvent]:
+    return [
+        SampleEvent(n, f"{name}-{text}-{n}", 1, SOFTWARE)
+        for n in range(1, count + 1)
+    ]
+
+
+@when("the store has {count:d} events of each sample's earlier text")
+def store_earlier(context: Any, count: int) -> None:
+    memory = context.memory
+    local = memory.jobs_by_name["a"]._job_by_id[JOB]
+    assert all(sample.complete for sample in local._samples)
+    records = {
+        item.name: SavedSample(events_of(0, count, "earlier"))
+        for item in context.job.items
+    }
+    JobStore(memory.store, memory.clock).save_samples(
+        JOB,
+        local.stored,
+        SavedSamples(records),
+        monotonic() + WRITE_TIMEOUT_S,
+    )
+
+
+@when("the holder of the job stops {count:d} times")
+def stop_holders(context: Any, count: int) -> None:
+    memory = context.memory
+    store = JobStore(memory.store, memory.clock)
+    for _ in range(count):
+        stored = store.head(JOB, monotonic() + WRITE_TIMEOUT_S)
+        assert stored is not None
+        name = stored.head["holder"]
+        memory.jobs_by_name[name].hand_over()
+        del memory.members[name]
+        memory.jobs_by_name.pop(name).stop()
+        time.sleep(0.1)
+
+
+@given("a {which} record of {count:d} events of text {number:d}, {end}")
+def set_record(
+    context: Any, which: str, count: int, number: int, end: str
+) -> None:
+    record = SavedSample(events_of(number, count, which), ENDS[end], number)
+    setattr(context, f"{which}_record", record)
+
+
+@then("the {which} record is taken as it is")
+def check_taken(context: Any, which: str) -> None:
+    merged = merge({"i": context.stored_record}, {"i": context.sent_record})
+    expected = getattr(context, f"{which}_record")
+    assert merged == {"i": expected}, merged
+
+
+@given("instances that know only the earlier call to take a job over")
+def forget_call(context: Any) -> None:
+    def refuse(body: bytes) -> bytes:
+        raise HibiscusError(ErrorKind.NOT_FOUND, "There is no such method.")
+
+    peers = context.memory.peers
+    for address, handlers in peers.handlers_by_address.items():
+        assert jobs_task.TAKE_OVER_METHOD in handlers
+        peers.handlers_by_address[address] = {
+            **handlers,
+            jobs_task.TAKE_OVER_METHOD: refuse,
+        }
+
+
+def saved_states() -> dict[str, SavedSample]:
+    return {
+        "running": SavedSample(events_of(0, 20)),
+        "complete": SavedSample(events_of(0, 20), ""),
+        "scored": SavedSample(events_of(0, 20), "0.5"),
+        "begun anew": SavedSample(events_of(2, 13), None, 2),
+        "about to begin anew": SavedSample([], None, 1),
+    }
+
+
+@given("samples in each state that a holder may save")
+def save_states(context: Any) -> None:
+    context.store = MemoryStore()
+    context.job_store = JobStore(context.store, SystemClock())
+    context.saved = SavedSamples(saved_states())
+    head: JobHead = {
+        "holder": "a",
+        "term": "1",
+        "parts": 0,
+        "total": 0,
+        "submitted_at": 0.0,
+        "ended": False,
+        "done": False,
+    }
+    revision = context.store.write("hibiscuspin/jobs/" + JOB, head)
+    context.job_store.save_samples(
+        JOB, StoredHead(head, revision), context.saved, monotonic() + 1.0
+    )
+
+
+def load(context: Any) -> Mapping[str, SavedSample]:
+    loaded = context.job_store.load_samples(JOB, monotonic() + 1.0)
+    by_name: Mapping[str, SavedSample] = loaded.by_name
+    return by_name
+
+
+@then("they are the same when they are read from the store")
+def check_loaded(context: Any) -> None:
+    assert load(context) == context.saved.by_name, load(context)
+
+
+@then("a build that does not know all parts reads their events and scores")
+def check_plain_parts(context: Any) -> None:
+    packed = msgspec.msgpack.encode(context.saved.plain_events_by_name())
+    plain = msgspec.msgpack.decode(
+        packed, type=dict[str, list[tuple[int, str, int]]]
+    )
+    assert plain.keys() == {"running", "complete", "scored", "begun anew"}
+    assert context.saved.score_by_name() == {"complete": "", "scored": "0.5"}
+
+
+@then("parts that such a build left in the store are not used")
+def check_outdated_parts(context: Any) -> None:
+    key = f"hibiscuspin/job-made/{JOB}"
+    context.store.rewrite(key)
+    beginnings = {row.beginning for row in load(context).values()}
+    assert beginnings == {0}, beginnings
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -16,6 +16,7 @@
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions.recovery import StoredJob
 from hibiscuspin.decisions.samples import SampleEvent, software_of
+from hibiscuspin.decisions.saved_samples import SavedSample
 from hibiscuspin.decisions.software import Software
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.transactions import (
@@ -38,6 +39,7 @@
     "JobItem",
     "JobStore",
     "RewardRequest",
+    "SampleRuns",
     "SavedSamples",
     "StoredHead",
     "trim_default",
@@ -51,6 +53,7 @@
 _EVENTS_PREFIX = "hibiscuspin/job-made/"
 _SCORES_SUFFIX = "/scores"
 _SOFTWARE_SUFFIX = "/software"
+_RUNS_SUFFIX = "/runs"
 
 # Values are limited to 1 MB on the wire, where base64 adds a third.
 MAX_PART_BYTES = 700_000
@@ -156,17 +159,24 @@
     score: str = ""
 
 
-class SavedSamples(NamedTuple):
-    """The unpublished samples that a job's next holder continues.
+class SampleRuns(TypedDict, total=False):
+    """What is known of a sample beside its text; absent if as at the start.
 
     Attributes:
-        events_by_name: The events of each sample by item.
-        score_by_name: The scores of the complete samples by item; an empty
-            string for one that has no score yet.
+        beginning: How often its text was begun anew.
     """
 
-    events_by_name: Mapping[str, Sequence[SampleEvent]] = {}
-    score_by_name: Mapping[str, str] = {}
+    beginning: int
+
+
+class SavedSamples(NamedTuple):
+    """The unpublished samples that a job's next holder continues, by item.
+
+    They are written in parts, of which builds that do not know one read the
+    others.
+    """
+
+    by_name: Mapping[str, SavedSample] = {}
 
     @classmethod
     def from_parts(
@@ -174,37 +184,67 @@
         events_by_name: Mapping[str, Sequence[SampleEvent]],
         score_by_name: Mapping[str, str],
         software_by_name: Mapping[str, Software],
+        runs_by_name: Mapping[str, SampleRuns],
     ) -> "SavedSamples":
-        """Joins events with what generated them, as they are stored apart."""
-        return cls(
-            {
-                name: [
-                    event._replace(software=software_by_name.get(name))
-                    for event in events
-                ]
-                for name, events in events_by_name.items()
-            },
-            score_by_name,
-        )
+        """Joins the parts.
+
+        Args:
+            events_by_name: The events of each sample.
+            score_by_name: The scores of the complete samples; an empty string
+                for one that has no score yet.
+            software_by_name: What generated the events.
+            runs_by_name: What else is known of the samples.
+        """
+        by_name = {}
+        for name in events_by_name.keys() | runs_by_name.keys():
+            software = software_by_name.get(name)
+            events = [
+                event._replace(software=software)
+                for event in events_by_name.get(name, ())
+            ]
+            runs = runs_by_name.get(name, {})
+            by_name[name] = SavedSample(
+                events,
+                score_by_name.get(name) if events else None,
+                runs.get("beginning", 0),
+            )
+        return cls(by_name)
 
     def plain_events_by_name(self) -> dict[str, list[tuple[int, str, int]]]:
-        """Returns the events without what generated them.
+        """Returns the events without what generated them."""
+        return {
+            name: [event[:3] for event in sample.events]
+            for name, sample in self.by_name.items()
+            if sample.events
+        }
 
-        Builds that do not know the field can then decode them.
-        """
+    def score_by_name(self) -> dict[str, str]:
+        """Returns the scores of the complete samples."""
         return {
-            name: [event[:3] for event in events]
-            for name, events in self.events_by_name.items()
+            name: sample.score
+            for name, sample in self.by_name.items()
+            if sample.score is not None
         }
 
     def software_by_name(self) -> dict[str, Software]:
         """Returns what generated the events of each sample."""
         return {
             name: software
-            for name, events in self.events_by_name.items()
-            if (software := software_of(events)) is not None
+            for name, sample in self.by_name.items()
+            if (software := software_of(sample.events)) is not None
         }
 
+    def runs_by_name(self) -> dict[str, SampleRuns]:
+        """Returns what else is known of samples that differ from new ones."""
+        rows: dict[str, SampleRuns] = {}
+        for name, sample in self.by_name.items():
+            row: SampleRuns = {}
+            if sample.beginning:
+                row["beginning"] = sample.beginning
+            if row:
+                rows[name] = row
+        return rows
+
 
 class JobHead(TypedDict):
     """The value of a job's head.
@@ -421,18 +461,22 @@
         """
         head_key = HEAD_PREFIX + job
         events_key = _EVENTS_PREFIX + job
-        scores_key = events_key + _SCORES_SUFFIX
+        optional_parts = {
+            events_key + _SCORES_SUFFIX: saved.score_by_name(),
+            events_key + _RUNS_SUFFIX: saved.runs_by_name(),
+        }
         puts = [
             PutOperation(events_key, _pack(saved.plain_events_by_name())),
             PutOperation(
                 events_key + _SOFTWARE_SUFFIX, _pack(saved.software_by_name())
             ),
         ]
-        deletes = []
-        if saved.score_by_name:
-            puts.append(PutOperation(scores_key, _pack(saved.score_by_name)))
-        else:
-            deletes.append(scores_key)
+        puts += [
+            PutOperation(key, _pack(part))
+            for key, part in optional_parts.items()
+            if part
+        ]
+        deletes = [key for key, part in optional_parts.items() if not part]
         outcome = self._store.commit(
             Transaction({head_key: stored.revision}, puts, deletes), deadline
         )
@@ -447,19 +491,23 @@
         value_by_key = {value.key: value for value in scan.values}
         events = value_by_key.get(events_key)
         scores = value_by_key.get(events_key + _SCORES_SUFFIX)
-        software = value_by_key.get(events_key + _SOFTWARE_SUFFIX)
-        # A build that does not know the software writes the events alone.
-        is_current = (
-            events and software and events.revision == software.revision
+        # A build that does not know a part leaves an earlier one as it is.
+        software, runs = (
+            part
+            if part and events and part.revision == events.revision
+            else None
+            for part in (
+                value_by_key.get(events_key + _SOFTWARE_SUFFIX),
+                value_by_key.get(events_key + _RUNS_SUFFIX),
+            )
         )
         return SavedSamples.from_parts(
             _unpack(events.value, dict[str, list[SampleEvent]])
             if events
             else {},
             _unpack(scores.value, dict[str, str]) if scores else {},
-            _unpack(software.value, dict[str, Software])
-            if software and is_current
-            else {},
+            _unpack(software.value, dict[str, Software]) if software else {},
+            _unpack(runs.value, dict[str, SampleRuns]) if runs else {},
         )
 
     def replace_head(
@@ -496,6 +544,7 @@
             events_key,
             events_key + _SCORES_SUFFIX,
             events_key + _SOFTWARE_SUFFIX,
+            events_key + _RUNS_SUFFIX,
             HEAD_PREFIX + job,
         ]
         self._store.commit(Transaction({}, (), rest), deadline)
--- a/hibiscuspin/tasks/job_writer.py
+++ b/hibiscuspin/tasks/job_writer.py
@@ -286,7 +286,8 @@
         def finish(result: None) -> None:
             self._verified_at = self._clock.monotonic()
             for sample in samples:
-                sample.saved_complete = sample.item.name in saved.score_by_name
+                record = saved.by_name[sample.item.name]
+                sample.saved_complete = record.score is not None
 
         self._submit(call, finish)
 
@@ -381,11 +382,4 @@
 
 def saved_samples(samples: Iterable[Sample]) -> SavedSamples:
     """Returns what the next holder needs in order to continue samples."""
-    events_by_name = {}
-    score_by_name = {}
-    for sample in samples:
-        # A run may append events meanwhile, but not to a complete sample.
-        if sample.complete:
-            score_by_name[sample.item.name] = sample.score or ""
-        events_by_name[sample.item.name] = list(sample.events)
-    return SavedSamples(events_by_name, score_by_name)
+    return SavedSamples({s.item.name: s.record() for s in samples})
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -9,12 +9,17 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from typing import NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 
 from hibiscuspin.clock import Clock
-from hibiscuspin.decisions import holders, recovery, result_reads
+from hibiscuspin.decisions import (
+    holders,
+    recovery,
+    result_reads,
+    saved_samples,
+)
 from hibiscuspin.decisions.organisations.job_access import (
     UNCHECKED,
     JobAccess,
@@ -40,6 +45,7 @@
     FencedError,
     JobContents,
     JobHead,
+    SampleRuns,
     SavedSamples,
     StoredHead,
     trim_default,
@@ -63,6 +69,7 @@
 END_METHOD = "jobs.end"
 HOLDS_METHOD = "jobs.holds"
 ITEM_METHOD = "jobs.item"
+TAKE_OVER_METHOD = "jobs.take-over"
 
 MAX_CONTROL_THREADS = 64
 # An instance that responds accepts a job within 0.1 s.
@@ -99,12 +106,24 @@
 
 
 class _AdoptRequest(NamedTuple):
+    """Asks to take over a job, as earlier builds understand it."""
+
     job: str
     events_by_name: Mapping[str, Sequence[SampleEvent]]
     score_by_name: Mapping[str, str] = {}
     software_by_name: Mapping[str, Software] = {}
 
 
+class _TakeOverRequest(TypedDict):
+    """Asks to take over a job with all that its holder knows of its samples."""
+
+    job: str
+    events_by_name: Mapping[str, Sequence[SampleEvent]]
+    score_by_name: Mapping[str, str]
+    software_by_name: Mapping[str, Software]
+    runs_by_name: Mapping[str, SampleRuns]
+
+
 class _ItemRequest(NamedTuple):
     job: str
     item: str
@@ -172,6 +191,7 @@
             END_METHOD: self._serve_end,
             HOLDS_METHOD: self._serve_holds,
             ITEM_METHOD: self._serve_item,
+            TAKE_OVER_METHOD: self._serve_take_over,
             RESULTS_METHOD: self._serve_results,
             ENDED_RESULTS_METHOD: self._serve_ended_results,
         }
@@ -730,7 +750,7 @@
             # Nobody else takes the job over from this live instance.
             self._finish_later(job, sent)
             raise
-        saved = _merge_samples(saved, sent)
+        saved = SavedSamples(saved_samples.merge(saved.by_name, sent.by_name))
         local = LocalJob(
             contents,
             stored,
@@ -747,8 +767,8 @@
                 "organisation": contents.organisation,
                 "from": previous_holder,
                 "listed": len(published),
-                "samples_begun": len(saved.events_by_name),
-                "samples_complete": len(saved.score_by_name),
+                "samples_begun": len(saved.by_name),
+                "samples_complete": len(saved.score_by_name()),
             },
         )
         return True
@@ -876,13 +896,6 @@
         members = self._instances.members()
         members.pop(self._instances.member.name, None)
         members = self.able_holders(local.contents.organisation, members)
-        adopt_request = _AdoptRequest(
-            job,
-            saved.plain_events_by_name(),  # type: ignore[arg-type]
-            saved.score_by_name,
-            saved.software_by_name(),
-        )
-        request = msgspec.msgpack.encode(trim_default(adopt_request))
         refused = self.suspects()
         while member := recovery.choose_holder(
             job, members, jobs_by_holder, refused
@@ -890,7 +903,7 @@
             if self._clock.monotonic() >= deadline:
                 break
             jobs_by_holder[member.name] = jobs_by_holder.get(member.name, 0) + 1
-            if self._request_adoption(member, request, deadline):
+            if self._request_takeover(member, job, saved, deadline):
                 _log.info(
                     "Job handed over.",
                     extra={"job": job, "to": member.name},
@@ -903,28 +916,78 @@
         )
         return False
 
+    def _request_takeover(
+        self,
+        member: LiveInstance,
+        job: str,
+        saved: SavedSamples,
+        deadline: float,
+    ) -> bool:
+        """Asks an instance to take a job over; returns whether it did."""
+        events: Any = saved.plain_events_by_name()
+        request: _TakeOverRequest = {
+            "job": job,
+            "events_by_name": events,
+            "score_by_name": saved.score_by_name(),
+            "software_by_name": saved.software_by_name(),
+            "runs_by_name": saved.runs_by_name(),
+        }
+        encoded = msgspec.msgpack.encode(request)
+        try:
+            return self._call_adoption(
+                member, TAKE_OVER_METHOD, encoded, deadline
+            )
+        except HibiscusError as error:
+            if error.kind is not ErrorKind.NOT_FOUND:
+                self._log_refusal(member, error)
+                return False
+        # An earlier build, which does not know the method.
+        adopt_request = _AdoptRequest(
+            job, events, request["score_by_name"], request["software_by_name"]
+        )
+        encoded = msgspec.msgpack.encode(trim_default(adopt_request))
+        return self._request_adoption(member, encoded, deadline)
+
     def _request_adoption(
         self,
         member: LiveInstance,
         request: bytes,
         deadline: float = math.inf,
     ) -> bool:
+        try:
+            return self._call_adoption(member, ADOPT_METHOD, request, deadline)
+        except HibiscusError as error:
+            self._log_refusal(member, error)
+            return False
+
+    def _call_adoption(
+        self,
+        member: LiveInstance,
+        method: str,
+        request: bytes,
+        deadline: float,
+    ) -> bool:
+        """Sends a request to take a job over; returns whether it was done.
+
+        Raises:
+            HibiscusError: The instance refused it.
+        """
         left_s = deadline - self._clock.monotonic()
         try:
             body = self._peers.call(
-                member.address,
-                ADOPT_METHOD,
-                request,
-                min(ADOPT_TIMEOUT_S, left_s),
-            )
-        except (PeerUnreachableError, HibiscusError) as error:
-            _log.info(
-                "Request to adopt a job failed.",
-                extra={"peer": member.name, "reason": str(error)},
+                member.address, method, request, min(ADOPT_TIMEOUT_S, left_s)
             )
+        except PeerUnreachableError as error:
+            self._log_refusal(member, error)
             return False
         return msgspec.msgpack.decode(body, type=bool)
 
+    def _log_refusal(self, member: LiveInstance, error: Exception) -> None:
+        _log.info(
+            "Request to adopt a job failed.",
+            extra={"peer": member.name, "reason": str(error)},
+        )
+
     def suspects(self) -> list[str]:
         """Returns the instances that have not responded to a recent call."""
         return [
@@ -1094,15 +1157,29 @@
 
     def _serve_adopt(self, body: bytes) -> bytes:
         request = msgspec.msgpack.decode(body, type=_AdoptRequest)
-        if self._reach.is_doubtful and self._held(request.job) is None:
+        sent = SavedSamples.from_parts(
+            request.events_by_name,
+            request.score_by_name,
+            request.software_by_name,
+            {},
+        )
+        return self._adopt_for_peer(request.job, sent)
+
+    def _serve_take_over(self, body: bytes) -> bytes:
+        request = msgspec.msgpack.decode(body, type=_TakeOverRequest)
+        sent = SavedSamples.from_parts(
+            request["events_by_name"],
+            request["score_by_name"],
+            request["software_by_name"],
+            request["runs_by_name"],
+        )
+        return self._adopt_for_peer(request["job"], sent)
+
+    def _adopt_for_peer(self, job: str, sent: SavedSamples) -> bytes:
+        if self._reach.is_doubtful and self._held(job) is None:
             return msgspec.msgpack.encode(False)
         try:
-            sent = SavedSamples.from_parts(
-                request.events_by_name,
-                request.score_by_name,
-                request.software_by_name,
-            )
-            adopted = self.adopt(request.job, sent)
+            adopted = self.adopt(job, sent)
         except StoreError as error:
             raise _store_unavailable(error) from error
         return msgspec.msgpack.encode(adopted)
@@ -1129,18 +1206,6 @@
     )
 
 
-def _merge_samples(saved: SavedSamples, sent: SavedSamples) -> SavedSamples:
-    """Returns the longer event list and the known score of each sample."""
-    events_by_name = dict(saved.events_by_name)
-    score_by_name = dict(saved.score_by_name)
-    for name, events in sent.events_by_name.items():
-        if len(events) > len(events_by_name.get(name, ())):
-            events_by_name[name] = events
-    for name, score in sent.score_by_name.items():
-        score_by_name[name] = score or score_by_name.get(name, "")
-    return SavedSamples(events_by_name, score_by_name)
-
-
 def _store_unavailable(error: StoreError) -> HibiscusError:
     return HibiscusError(
         ErrorKind.STORE_UNAVAILABLE, f"The store is unavailable: {error}"
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -142,11 +142,9 @@
             if item.name in published_names:
                 continue
             sample = Sample(index, item)
-            sample.events = list(saved.events_by_name.get(item.name, ()))
-            sample.complete = bool(
-                sample.events and item.name in saved.score_by_name
-            )
-            sample.score = saved.score_by_name.get(item.name) or None
+            record = saved.by_name.get(item.name)
+            if record is not None:
+                sample.restore(record)
             unpublished.append(sample)
         return unpublished
 
@@ -257,7 +255,7 @@
         """Stops all work; returns what the next holder continues with."""
         self._released = True
         self.stop()
-        return saved_samples(s for s in self._samples if s.events)
+        return saved_samples(s for s in self._samples if s.has_begun)
 
     def _stop_fenced(self, current: StoredHead | None) -> None:
         self._released = True
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -14,6 +14,7 @@
     software_of,
     urgency,
 )
+from hibiscuspin.decisions.saved_samples import SavedSample
 from hibiscuspin.decisions.software import Software
 from hibiscuspin.edges import TargetError, WaitLimits
 from hibiscuspin.edges.discovery import (
@@ -44,6 +45,13 @@
 _log = get_logger("rollouts")
 
 
+class _Text(NamedTuple):
+    """A beginning of a sample's text; runs append to its events."""
+
+    beginning: int
+    events: list[SampleEvent]
+
+
 class Sample:
     """An item of a job, and the events that were generated for it so far.
 
@@ -59,7 +67,9 @@
     def __init__(self, index: int, item: JobItem) -> None:
         self.index = index
         self.item = item
-        self.events: list[SampleEvent] = []
+        # Replaced as a whole: other threads read it while a run changes it.
+        self._text = _Text(0, [])
+        self._dropped_events = 0
         self.errors = 0
         self.avoided_targets: set[str] = set()
         self.run: SampleRun | None = None
@@ -70,6 +80,35 @@
         self.scoring = False
         self.finished = False
 
+    @property
+    def events(self) -> list[SampleEvent]:
+        """The events of its text."""
+        return self._text.events
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether its record differs from that of a new sample."""
+        return bool(self.events) or self._text.beginning > 0
+
+    def begin_anew(self) -> None:
+        """Drops the text, which no run may continue."""
+        beginning, events = self._text
+        self._dropped_events += len(events)
+        self._text = _Text(beginning + 1, [])
+
+    def record(self) -> SavedSample:
+        """Returns what the next holder of the job needs to know."""
+        # A run may append events meanwhile, but not to a complete sample.
+        score = (self.score or "") if self.complete else None
+        beginning, events = self._text
+        return SavedSample(list(events), score, beginning)
+
+    def restore(self, record: SavedSample) -> None:
+        """Continues from the record of an earlier holder."""
+        self._text = _Text(record.beginning, list(record.events))
+        self.complete = record.score is not None
+        self.score = record.score or None
+
     @property
     def needs_run(self) -> bool:
         """Whether it waits for a run on an engine."""
@@ -77,8 +116,9 @@
 
     @property
     def progress(self) -> int:
-        """The number of its events, plus one for its score."""
-        return len(self.events) + (self.score is not None)
+        """The number of events generated for it, plus one for its score."""
+        generated = self._dropped_events + len(self.events)
+        return generated + (self.score is not None)
 
     @property
     def begun_by(self) -> Software | None:
@@ -190,14 +230,14 @@
         self.target.check_accepts_work()
         version = self.target.version(limits.model)
         generated = len(sample.events)
-        sample.events = reusable_events(
+        if generated and not reusable_events(
             sample.events,
             limits.oldest_version,
             version,
             limits.single_version,
             self.target.software,
-        )
-        if generated and not sample.events:
+        ):
+            sample.begin_anew()
             self._log_dropped(generated)
         after = sample.events[-1].number if sample.events else 0
         stream = self.target.client.open_stream(
@@ -306,7 +346,7 @@
             previous.version != event.version for previous in events[-1:]
         )
         if is_outdated or is_mixed:
-            events.clear()
+            self.sample.begin_anew()
             self.detail = f"version {event.version} is not allowed"
             return False
         events.append(
