Hand over how often the runs of a sample have failed

Items that engines answer with 500 ran 12 times while their holders were stopped in turn, though a route of three attempts allows nine such answers at most. A hand-over named neither the errors of a sample nor that it had been given up and was not listed yet, so that each holder counted anew. The same held for items that an engine had answered with 422.

The record of a sample has both. It goes with a hand-over and with what is saved in the store; the next holder lists a sample that was given up, and goes on counting the errors of others.

Four scenarios of features/hand_overs.feature failed before, with nine runs in place of three after two planned stops.

--- a/features/hand_overs.feature
+++ b/features/hand_overs.feature
@@ -21,6 +21,45 @@
       | 1     |
       | 2     |
 
+  # Guards against items that run more often than their route allows, since each
+  # holder counts their errors anew.
+  Scenario Outline: an item that engines answer with <status> is not run anew
+    Given results that are not published
+    And engines that answer each run with <status>
+    When a accepts a job of 1 groups of 2 samples with 5 events
+    And 0.6 s pass
+    And the holder of the job stops 2 times
+    And results are published again
+    Then all results of the job are listed as given up
+    And each sample was sent <runs> times
+
+    Examples:
+      | status | runs |
+      | 500    | 3    |
+      | 422    | 1    |
+
+  # Guards against the same while the errors are fewer than its route allows.
+  Scenario: errors of a sample count after a planned stop
+    Given the engines fail the next 2 runs of each sample
+    When a accepts a job of 1 groups of 2 samples with 200 events
+    And 0.3 s pass
+    And the holder of the job stops 1 times
+    And the engines fail the next 1 runs of each sample
+    And the holder of the job stops 1 times
+    Then all results of the job are listed as given up
+
+  # Guards against the same after a kill, as far as its holder had saved them.
+  Scenario: a takeover from the store counts what its last holder saved
+    Given samples that are saved at once
+    And results that are not published
+    And engines that answer each run with 500
+    When a accepts a job of 1 groups of 2 samples with 5 events
+    And 0.6 s pass
+    And a is lost and b takes the job over
+    And results are published again
+    Then all results of the job are listed as given up
+    And each sample was sent 3 times
+
   # Guards against a record that is joined from those of two texts.
   Scenario Outline: of two records of a sample the newer one is taken whole
     Given a stored record of <stored> events of text <old>, <stored_end>
@@ -42,10 +81,20 @@
       | 9      | 0   | complete        | 9    | 0   | with a score    | sent   |
       | 9      | 0   | with a score    | 9    | 0   | complete        | stored |
 
+    Examples: a sample that was given up is finished
+      | stored | old | stored_end      | sent | new | sent_end        | taken  |
+      | 9      | 1   | incomplete      | 0    | 0   | given up        | sent   |
+      | 0      | 0   | given up        | 9    | 1   | incomplete      | stored |
+
     Examples: builds that don't count beginnings send text 0
       | stored | old | stored_end      | sent | new | sent_end        | taken  |
       | 9      | 0   | incomplete      | 5    | 0   | complete        | sent   |
 
+  Scenario: errors of an earlier text stay
+    Given a stored record of 9 events of text 0, with 2 errors
+    And a sent record of 3 events of text 1, with 1 errors
+    Then the sent record is taken with 2 errors
+
   # Guards against a hand-over that fails beside instances of an earlier build.
   Scenario: a build that does not know the newer call takes the job over
     Given instances that know only the earlier call to take a job over
--- a/features/platform_fakes.py
+++ b/features/platform_fakes.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -249,6 +250,8 @@
         fault: How it fails: an HTTP status, `full`, `unreachable`, `broken`,
             `silent`, `break` (after `break_at` events of a run), or an empty
             string for no fault.
+        failures_by_request: How many of the next runs of each request fail
+            with status 500.
         runs: For each request id, the event after which each run started.
         sent_at: For each request id, when each call to `send` arrived.
         stamps: For each request id, the stamps of its successful responses.
@@ -277,6 +280,7 @@
         self.event_s = EVENT_S
         self.fault = ""
         self.break_at = 3
+        self.failures_by_request: Counter[str] = Counter()
         self.runs: dict[str, list[int]] = {}
         self.sent_at: dict[str, list[float]] = {}
         self.stamps: dict[str, list[str]] = {}
@@ -392,6 +396,9 @@
         if self.fault.isdigit():
             status = int(self.fault)
             raise TargetError("error status", sent=True, status=status)
+        if self.failures_by_request[request.request_id] > 0:
+            self.failures_by_request[request.request_id] -= 1
+            raise TargetError("error status", sent=True, status=500)
         return MemoryStream(self, request, after)
 
     def fetch_state(self, deadline: float) -> TargetState:
--- a/features/steps/hand_overs_steps.py
+++ b/features/steps/hand_overs_steps.py
@@ -1,14 +1,15 @@
 """Steps on what a job's holder leaves to the next one."""
 
 import time
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 from behave import given, then, when
 
-from features.platform_fakes import MemoryStore
-from features.steps.platform_jobs_steps import JOB
+from features.platform_fakes import MemoryStore, job_contents
+from features.steps.platform_jobs_steps import JOB, check_runs
 from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.decisions.samples import SampleEvent
 from hibiscuspin.decisions.saved_samples import SavedSample, merge
@@ -65,19 +66,53 @@
         time.sleep(0.1)
 
 
+@given("engines that answer each run with {status:d}")
+def fail_runs(context: Any, status: int) -> None:
+    for target in context.memory.target_by_name.values():
+        target.fault = str(status)
+
+
+@given("the engines fail the next {count:d} runs of each sample")
+@when("the engines fail the next {count:d} runs of each sample")
+def fail_next_runs(context: Any, count: int) -> None:
+    names = [item.name for item in job_contents(JOB, 1, 2, 0).items]
+    failures = Counter(dict.fromkeys(names, count))
+    for target in context.memory.target_by_name.values():
+        target.failures_by_request = failures
+
+
+@then("each sample was sent {count:d} times")
+def check_sent(context: Any, count: int) -> None:
+    check_runs(context, count)
+
+
 @given("a {which} record of {count:d} events of text {number:d}, {end}")
 def set_record(
     context: Any, which: str, count: int, number: int, end: str
 ) -> None:
-    record = SavedSample(events_of(number, count, which), ENDS[end], number)
+    events = events_of(number, count, which)
+    if end == "given up":
+        record = SavedSample(events, None, number, 3, True)
+    elif end.endswith("errors"):
+        record = SavedSample(events, None, number, int(end.split()[1]))
+    else:
+        record = SavedSample(events, ENDS[end], number)
     setattr(context, f"{which}_record", record)
 
 
+@then("the {which} record is taken with {errors:d} errors")
+def check_errors(context: Any, which: str, errors: int) -> None:
+    merged = merge({"i": context.stored_record}, {"i": context.sent_record})
+    record = getattr(context, f"{which}_record")
+    assert merged == {"i": record._replace(errors=errors)}, merged
+
+
 @then("the {which} record is taken as it is")
 def check_taken(context: Any, which: str) -> None:
     merged = merge({"i": context.stored_record}, {"i": context.sent_record})
     expected = getattr(context, f"{which}_record")
-    assert merged == {"i": expected}, merged
+    errors = merged["i"].errors
+    assert merged == {"i": expected._replace(errors=errors)}, merged
 
 
 @given("instances that know only the earlier call to take a job over")
@@ -101,6 +136,8 @@
         "scored": SavedSample(events_of(0, 20), "0.5"),
         "begun anew": SavedSample(events_of(2, 13), None, 2),
         "about to begin anew": SavedSample([], None, 1),
+        "failed": SavedSample([], None, 0, 2),
+        "given up": SavedSample([], None, 0, 3, True),
     }
 
 
--- a/hibiscuspin/decisions/saved_samples.py
+++ b/hibiscuspin/decisions/saved_samples.py
@@ -4,6 +4,9 @@
 begin anew, and the step's holder is stopped meanwhile. The records in the store
 then belong to beginnings that the holder has abandoned, and may be longer than
 those that it hands over.
+
+Load pattern: instances are stopped one after the other while some items fail at
+each run. A holder that does not know how often an item has failed runs it anew.
 """
 
 from collections.abc import Mapping, Sequence
@@ -22,11 +25,15 @@
         score: The score of a complete text, empty while it has none; None if
             the text is not complete.
         beginning: How often the text was begun anew.
+        errors: How many of its runs ended with an error of the engine.
+        given_up: Whether it is to be listed as failed.
     """
 
     events: Sequence[SampleEvent] = ()
     score: str | None = None
     beginning: int = 0
+    errors: int = 0
+    given_up: bool = False
 
 
 def merge(
@@ -36,7 +43,7 @@
     """Returns the newer record of each sample.
 
     A record is taken whole: its events, its end and its score are those of one
-    text.
+    text. Errors count whatever the text, so the larger number stays.
 
     Args:
         saved_by_name: Records from the store, by item.
@@ -44,12 +51,16 @@
     """
     merged = dict(saved_by_name)
     for name, sent in sent_by_name.items():
-        merged[name] = max(merged.get(name, sent), sent, key=_age_key)
+        saved = merged.get(name, sent)
+        newer = max(saved, sent, key=_age_key)
+        errors = max(saved.errors, sent.errors)
+        merged[name] = newer._replace(errors=errors)
     return merged
 
 
-def _age_key(record: SavedSample) -> tuple[int, bool, bool, int]:
+def _age_key(record: SavedSample) -> tuple[bool, int, bool, bool, int]:
     return (
+        record.given_up,
         record.beginning,
         record.score is not None,
         bool(record.score),
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -164,9 +164,13 @@
 
     Attributes:
         beginning: How often its text was begun anew.
+        errors: How many of its runs ended with an error of the engine.
+        given_up: True if it is to be listed as failed.
     """
 
     beginning: int
+    errors: int
+    given_up: bool
 
 
 class SavedSamples(NamedTuple):
@@ -207,6 +211,8 @@
                 events,
                 score_by_name.get(name) if events else None,
                 runs.get("beginning", 0),
+                runs.get("errors", 0),
+                runs.get("given_up", False),
             )
         return cls(by_name)
 
@@ -241,6 +247,10 @@
             row: SampleRuns = {}
             if sample.beginning:
                 row["beginning"] = sample.beginning
+            if sample.errors:
+                row["errors"] = sample.errors
+            if sample.given_up:
+                row["given_up"] = True
             if row:
                 rows[name] = row
         return rows
--- a/hibiscuspin/tasks/job_writer.py
+++ b/hibiscuspin/tasks/job_writer.py
@@ -306,7 +306,11 @@
         self._submit(call, finish)
 
     def _samples_to_save(self, samples: Sequence[Sample]) -> list[Sample]:
-        """Returns the complete and the longest unpublished samples."""
+        """Returns the unpublished samples that are worth a save.
+
+        Those that failed and the complete ones go before the others, and longer
+        ones before shorter ones.
+        """
         published_names = {result.name for result in self._published}
         unpublished = [
             sample
@@ -314,7 +318,9 @@
             if sample.item.name not in published_names
             and _is_worth_saving(sample)
         ]
-        unpublished.sort(key=lambda s: (not s.complete, -len(s.events)))
+        unpublished.sort(
+            key=lambda s: (not s.has_failed, not s.complete, -len(s.events))
+        )
         fitting = []
         size = 0
         for sample in unpublished:
@@ -372,7 +378,11 @@
 
 
 def _is_worth_saving(sample: Sample) -> bool:
-    return sample.complete or len(sample.events) >= MIN_SAVED_EVENTS
+    return (
+        sample.complete
+        or len(sample.events) >= MIN_SAVED_EVENTS
+        or sample.has_failed
+    )
 
 
 def _is_unsaved_text(sample: Sample) -> bool:
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -145,6 +145,8 @@
             record = saved.by_name.get(item.name)
             if record is not None:
                 sample.restore(record)
+            if sample.given_up:
+                self._give_up_sample(sample)
             unpublished.append(sample)
         return unpublished
 
@@ -370,6 +372,7 @@
         return self._dependencies.scoring.offer(request)
 
     def _give_up_sample(self, sample: Sample) -> None:
+        sample.given_up = True
         result = ItemResult(sample.item.name, False, "", ())
         self._finish_sample(sample, result)
 
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -62,6 +62,7 @@
         score: The score of a complete sample; None while it has none.
         scoring: Whether the sample is queued for scoring.
         finished: Whether its result was passed to the writer.
+        given_up: Whether its result is that it failed.
     """
 
     def __init__(self, index: int, item: JobItem) -> None:
@@ -79,6 +80,7 @@
         self.score: str | None = None
         self.scoring = False
         self.finished = False
+        self.given_up = False
 
     @property
     def events(self) -> list[SampleEvent]:
@@ -88,7 +90,13 @@
     @property
     def has_begun(self) -> bool:
         """Whether its record differs from that of a new sample."""
-        return bool(self.events) or self._text.beginning > 0
+        has_text = bool(self.events) or self._text.beginning > 0
+        return has_text or self.has_failed
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether an engine failed to run it, or it was given up."""
+        return self.errors > 0 or self.given_up
 
     def begin_anew(self) -> None:
         """Drops the text, which no run may continue."""
@@ -101,13 +109,17 @@
         # A run may append events meanwhile, but not to a complete sample.
         score = (self.score or "") if self.complete else None
         beginning, events = self._text
-        return SavedSample(list(events), score, beginning)
+        return SavedSample(
+            list(events), score, beginning, self.errors, self.given_up
+        )
 
     def restore(self, record: SavedSample) -> None:
         """Continues from the record of an earlier holder."""
         self._text = _Text(record.beginning, list(record.events))
         self.complete = record.score is not None
         self.score = record.score or None
+        self.errors = record.errors
+        self.given_up = record.given_up
 
     @property
     def needs_run(self) -> bool:
@@ -116,9 +128,12 @@
 
     @property
     def progress(self) -> int:
-        """The number of events generated for it, plus one for its score."""
+        """How much a holder that takes over from the last save would miss.
+
+        Each generated event, its score and each failed run count as one.
+        """
         generated = self._dropped_events + len(self.events)
-        return generated + (self.score is not None)
+        return generated + (self.score is not None) + self.errors
 
     @property
     def begun_by(self) -> Software | None:
