Refuse responses whose head or framing is spoilt

Callers got a 200 with a body that was not the engine's, from an engine in trouble that had spoilt the length of the body or put a line into the head that is no field. http.client takes what follows such a line for the body, and reads to the end of the connection where it can't read the length, so that a body that was cut looked whole.

The status line, each field, the framing, each chunk and the trailer are held to the grammar of RFC 9112, for all clients in one place.

--- a/hibiscuspin/edges/http_response.py
+++ b/hibiscuspin/edges/http_response.py
@@ -1,21 +1,42 @@
-"""An HTTP response that detects truncated headers and surplus bytes."""
+"""An HTTP response whose head and framing are read strictly.
+
+`http.client` takes the lines after a header that it can't read for the body,
+and a length that it can't read for none. The body then ends with the
+connection, so that a spoilt response looks complete. Here each deviation from
+the grammar of RFC 9112 is an error.
+"""
 
 import http.client
+import re
 from collections.abc import Callable
 from typing import Any
 
+from hibiscuspin.edges.http_head import (
+    LINE_END,
+    MAX_LENGTH_DIGITS,
+    TEXT,
+    check_field,
+    check_head,
+)
+
 __all__ = ["StrictResponse"]
 
 MAX_HEAD_BYTES = 256 * 1024
-_EMPTY_LINES = (b"\r\n", b"\n")
+MAX_CHUNK_LINE_BYTES = 1024
+MAX_TRAILER_BYTES = 16 * 1024
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
+_CHUNK_SIZE_LINE = re.compile(
+    rb"([0-9A-Fa-f]{1,%d})[\t ]*(?:;" % MAX_LENGTH_DIGITS + TEXT + rb")?\r\n"
+)
 
 
 class _HeaderReader:
-    """Reads the status line and headers, and remembers the last line."""
+    """Reads the status line and headers, and remembers their lines."""
 
     def __init__(self, raw: Any, wait: Callable[[], None]) -> None:
         self.raw = raw
-        self.last_line = b""
+        self.lines: list[bytes] = []
         self._wait = wait
         self._buffered_bytes = 0
         self._left_bytes = MAX_HEAD_BYTES
@@ -32,8 +53,9 @@
             parts.append(part)
             if not part:
                 break
-        self.last_line = b"".join(parts)
-        return self.last_line
+        line = b"".join(parts)
+        self.lines.append(line)
+        return line
 
     def _read_part(self) -> bytes:
         """Reads what has arrived, at most to the end of the line."""
@@ -55,7 +77,7 @@
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response that requires complete headers and detects surplus bytes.
+    """A response with a valid and complete head, framing and body.
 
     `http.client` accepts the end of the connection as the end of the headers,
     and discards bytes that it has buffered after the response.
@@ -86,8 +108,8 @@
 
         Raises:
             http.client.RemoteDisconnected: The connection ended within them.
-            http.client.HTTPException: They are too large, or an interim
-                response that no request asked for.
+            http.client.HTTPException: They are too large or not valid, or
+                those of an interim response, which no request asks for.
         """
         reader = _HeaderReader(self.fp, self._wait)
         self.fp: Any = reader
@@ -96,18 +118,59 @@
             self.fp = reader.raw
         # The connection keeps this response, and `wait` refers to its request.
         del self._wait
-        if reader.last_line not in _EMPTY_LINES:
+        if not reader.lines[-1].endswith(b"\n"):
             raise http.client.RemoteDisconnected(
                 "connection closed within the response headers"
             )
+        method: str = self._method  # type: ignore[attr-defined]
+        check_head(reader.lines, method)
 
     def _read_status(self) -> tuple[str, int, str]:
-        # The base class reads on after any number of these.
+        # The base class reads on after any number of interim responses.
         version, status, reason = super()._read_status()  # type: ignore[misc]
-        if status == http.client.CONTINUE:
-            raise http.client.HTTPException("unexpected interim response")
+        if not FIRST_FINAL_STATUS <= status <= LAST_STATUS:
+            raise http.client.HTTPException(
+                f"status {status} is not that of a final response"
+            )
         return version, status, reason
 
+    def _get_chunk_left(self) -> int | None:
+        left: int | None = self.chunk_left
+        if left:
+            return left
+        base: Any = super()
+        if left is not None and base._safe_read(len(LINE_END)) != LINE_END:
+            raise http.client.HTTPException("chunk is longer than its size")
+        left = self._read_next_chunk_size()
+        if not left:
+            self._read_and_discard_trailer()
+            self._close_conn()
+            left = None
+        self.chunk_left = left
+        return left
+
+    def _read_and_discard_trailer(self) -> None:
+        left_bytes = MAX_TRAILER_BYTES
+        while (line := self.fp.readline(left_bytes)) != LINE_END:
+            left_bytes -= len(line)
+            if left_bytes <= 0:
+                raise http.client.HTTPException(
+                    f"trailer is larger than {MAX_TRAILER_BYTES} bytes"
+                )
+            if not line.endswith(b"\n"):
+                raise http.client.IncompleteRead(b"")
+            check_field(line)
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_CHUNK_LINE_BYTES + 1)
+        match = _CHUNK_SIZE_LINE.fullmatch(line)
+        if match is not None:
+            return int(match[1], 16)
+        self._close_conn()
+        if len(line) <= MAX_CHUNK_LINE_BYTES and not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(b"")
+        raise http.client.HTTPException(f"invalid size of a chunk: {line[:40]}")
+
     def _close_conn(self) -> None:
         fp = self.fp.raw if isinstance(self.fp, _HeaderReader) else self.fp
         sock = getattr(getattr(fp, "raw", None), "_sock", None)
