--- a/features/steps/takeovers_steps.py
+++ b/features/steps/takeovers_steps.py
@@ -9,6 +9,7 @@
 from hibiscuspin.decisions import recovery
 from hibiscuspin.decisions.recovery import LiveInstance, StoredJob
 from hibiscuspin.edges import StoreError
+from hibiscuspin.tasks.job_store import HEAD_PREFIX
 from hibiscuspin.tasks.local_job import LocalJob
 
 FAILS_WITHIN_S = 2.0
@@ -44,6 +45,14 @@
         assert wait_until(lambda: local.stopped, FAILS_WITHIN_S)
 
 
+@when("the store has a job of a without its contents")
+def store_head(context: Any) -> None:
+    memory = context.memory
+    stored = memory.jobs_by_name["a"]._job_by_id[JOB].stored
+    # Its head is read before that of the other job.
+    memory.store.write(f"{HEAD_PREFIX}a-{JOB}", stored.head)
+
+
 @then("only c runs the job")
 def check_runs_at_c(context: Any) -> None:
     running = [
--- a/features/takeovers.feature
+++ b/features/takeovers.feature
@@ -66,6 +66,14 @@
     And a finishes its takeovers
     Then all results of the job are listed with whole texts of version 1
 
+  # Guards against jobs that nobody runs, since another one can't be read.
+  Scenario: a job that can't be taken over holds up no other
+    When a accepts a job of 2 groups of 4 samples with 60 events
+    And the store has a job of a without its contents
+    And a is lost
+    And the coordinator at b sweeps
+    Then all results of the job are listed with whole texts of version 1
+
   Scenario Outline: only unfinished jobs of live instances are confirmed
     Given a stored job of "<holder>" in term "<term>" that is <state>
     Then "<confirmed>" is told that it holds the job
--- a/hibiscuspin/tasks/job_recovery.py
+++ b/hibiscuspin/tasks/job_recovery.py
@@ -179,7 +179,7 @@
                 able = self._jobs.able_holders(
                     organisation_by_job[orphan.job], members
                 )
-                self._reassign(orphan, able, jobs_by_holder)
+                self._try_reassign(orphan, able, jobs_by_holder)
         for name, assigned in recovery.assigned_jobs(jobs, members).items():
             self._jobs.confirm_assigned(members[name], assigned)
         wall = self._clock.wall()
@@ -188,6 +188,21 @@
             _log.info("Expired job deleted.", extra={"job": job.job})
         self._jobs.drop_expired(wall - self._retention_s)
 
+    def _try_reassign(
+        self,
+        orphan: StoredJob,
+        members: dict[str, LiveInstance],
+        jobs_by_holder: dict[str, int],
+    ) -> None:
+        """Reassigns an orphan; a failure holds up no other one."""
+        try:
+            self._reassign(orphan, members, jobs_by_holder)
+        except StoreError as error:
+            _log.info(
+                "Orphaned job not taken over; retrying.",
+                extra={"job": orphan.job, "reason": str(error)},
+            )
+
     def _reassign(
         self,
         orphan: StoredJob,
