Let started samples begin anew instead of waiting for long

Users saw an item of a step at no engine for seconds while engines had room. One way there: when most engines are replaced by ones of newer software, all samples that the old ones began wait for the few that are left, and each takes itself for the next one there. It waited for 0.1 s by its own estimate, again and again.

A started sample waits for an engine that can go on from its events for 1.5 s at most while others have room; then it begins anew.

--- a/features/platform_decisions.feature
+++ b/features/platform_decisions.feature
@@ -73,6 +73,21 @@
       | a:version=3,backoff_until=9 b:version=3  | a    | b      |
       | a:version=3,in_flight_elsewhere=6        |      | none   |
 
+  # Guards against items that are at no engine for seconds, though engines have
+  # room: each of them expects the next place at one that can continue it.
+  Scenario Outline: started samples whose engines were replaced don't wait for long
+    Given <samples> samples with 10 of 25 events, and 1 engine of 5 that can continue them
+    When engines of 16 places take <pace> s for an event
+    Then no sample waits longer than 1.6 s while an engine has room
+    And at least 16 samples go on from their events
+
+    Examples:
+      | samples | pace |
+      | 20      | 0.04 |
+      | 45      | 0.15 |
+      | 64      | 0.15 |
+      | 64      | 0.4  |
+
   Scenario: with places to spare the longest samples start first
     Given samples of "g1:5,90 g2:40,10"
     When 100 events a second are made and 8 s are left
--- a/features/steps/platform_decisions_steps.py
+++ b/features/steps/platform_decisions_steps.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import Counter
-from typing import Any
+from typing import Any, NamedTuple
 
 from behave import given, then, when
 
@@ -26,6 +26,8 @@
 from hibiscuspin.decisions.software import Software
 
 SLOTS = 8
+REPLAY_S = 30.0
+REPLAY_TICK_S = 0.04
 YES_NO = {"yes": True, "no": False}
 SOFTWARE = Software("llm", "v1")
 
@@ -187,6 +189,78 @@
     place_sample(context, events, version, "")
 
 
+class WaitingSample(NamedTuple):
+    """A started sample of the replay: when it ran, and where."""
+
+    started_at: float
+    target: str
+
+
+@given(
+    "{count:d} samples with {generated:d} of {total:d} events, and 1 engine of "
+    "{engines:d} that can continue them"
+)
+def set_started_samples(
+    context: Any, count: int, generated: int, total: int, engines: int
+) -> None:
+    context.sample_count = count
+    context.generated, context.left = generated, total - generated
+    context.software_by_engine = {
+        f"e{number}": Software("llm", "v2" if number else "v1")
+        for number in range(engines)
+    }
+
+
+@when("engines of {slots:d} places take {pace:g} s for an event")
+def replay_started_samples(context: Any, slots: int, pace: float) -> None:
+    context.slots = slots
+    ends_by_engine: dict[str, list[float]] = {
+        name: [] for name in context.software_by_engine
+    }
+    placed: list[WaitingSample] = []
+    for tick in range(int(REPLAY_S / REPLAY_TICK_S)):
+        now = tick * REPLAY_TICK_S
+        requirements = placement.SampleRequirements(
+            1,
+            context.left,
+            generated=context.generated,
+            begun_by=Software("llm", "v1"),
+            may_begin_anew=now >= placement.CONTINUATION_WAIT_S,
+        )
+        for _ in range(context.sample_count - len(placed)):
+            views = [
+                TargetView(
+                    name,
+                    slots,
+                    in_flight_here=sum(end > now for end in ends),
+                    event_s=pace,
+                    version=1,
+                    software=context.software_by_engine[name],
+                )
+                for name, ends in ends_by_engine.items()
+            ]
+            view = placement.place_sample(views, requirements, now)
+            if view is None:
+                break
+            events = requirements.events_at(view)
+            ends_by_engine[view.name].append(now + events * pace)
+            placed.append(WaitingSample(now, view.name))
+    context.placed = placed
+
+
+@then("no sample waits longer than {limit:g} s while an engine has room")
+def check_waits(context: Any, limit: float) -> None:
+    assert len(context.placed) == context.sample_count, len(context.placed)
+    longest_s = max(sample.started_at for sample in context.placed)
+    assert longest_s <= limit, longest_s
+
+
+@then("at least {count:d} samples go on from their events")
+def check_continued(context: Any, count: int) -> None:
+    continued = [sample for sample in context.placed if sample.target == "e0"]
+    assert len(continued) >= count, len(continued)
+
+
 @given('samples of "{texts}"')
 def set_samples(context: Any, texts: str) -> None:
     context.sizes = []
--- a/hibiscuspin/decisions/placement.py
+++ b/hibiscuspin/decisions/placement.py
@@ -3,6 +3,10 @@
 Load pattern: targets of unequal speed, some slow, some silent, while one
 instance sends most of the requests of a service itself. Its own request
 counts are therefore exact, while load reports of the targets would lag behind.
+
+Load pattern: most engines of a service are replaced by ones of newer software.
+All samples that the old ones began wait for the few that are left, and each
+expects to be next.
 """
 
 import math
@@ -12,6 +16,7 @@
 from hibiscuspin.decisions.software import Software, may_continue
 
 __all__ = [
+    "CONTINUATION_WAIT_S",
     "SampleRequirements",
     "TargetView",
     "expected_call_s",
@@ -27,6 +32,9 @@
 # Of a dozen slots, one becomes free within a tenth of a second.
 MAX_STARTED_QUEUE = 3
 SLOT_WAIT_S = 0.1
+# How long a started sample waits for a target that can go on from its events
+# while others have room.
+CONTINUATION_WAIT_S = 1.5
 
 
 class TargetView(NamedTuple):
@@ -99,6 +107,8 @@
         generated: How many events it has. A target that may continue it gets
             it as urgent, and may queue it without a free slot.
         begun_by: What generated these events.
+        may_begin_anew: Whether it has waited long enough for a target that
+            can go on from its events.
     """
 
     oldest_version: int
@@ -107,6 +117,7 @@
     avoid: Collection[str] = ()
     generated: int = 0
     begun_by: Software | None = None
+    may_begin_anew: bool = False
 
     def keeps_events(self, view: TargetView) -> bool:
         """Returns whether the sample can go on from its events at a target."""
@@ -178,7 +189,7 @@
 
     At a target that can't go on from the sample's events, they have to be
     generated again. Where it finishes sooner by waiting for one that can, and
-    none of these has room, none is returned.
+    none of these has room, none is returned, unless it has waited long enough.
     """
     capable = [
         view
@@ -196,7 +207,10 @@
     )
     if other is not None and _finish_s(other, requirements) < finish_s:
         return other
-    return _best_with_room(keeping, requirements, now)
+    kept = _best_with_room(keeping, requirements, now)
+    if kept is None and requirements.may_begin_anew:
+        return other
+    return kept
 
 
 def _best_with_room(
--- a/hibiscuspin/tasks/local_job.py
+++ b/hibiscuspin/tasks/local_job.py
@@ -5,6 +5,7 @@
 `JobWriter`; readers see only results that are published in the store.
 """
 
+import math
 import queue
 import threading
 import time
@@ -463,6 +464,9 @@
         views_by_name: dict[str, TargetView],
         now: float,
     ) -> TargetView | None:
+        sample.continues_until = min(
+            sample.continues_until, now + placement.CONTINUATION_WAIT_S
+        )
         group = sample.item.group
         requirements = placement.SampleRequirements(
             self.contents.oldest_version,
@@ -471,6 +475,7 @@
             sample.avoided_targets,
             len(sample.events),
             sample.begun_by,
+            now >= sample.continues_until,
         )
         view = placement.place_sample(
             list(views_by_name.values()), requirements, now
@@ -498,6 +503,7 @@
         )
         run = SampleRun(sample, target, targets, limits, self._clock)
         sample.run = run
+        sample.continues_until = math.inf
         self._dependencies.run_executor.submit(self._execute_run, run)
         return True
 
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -1,5 +1,6 @@
 """Runs of samples: each generates events on one target in a worker thread."""
 
+import math
 import threading
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
@@ -56,6 +57,8 @@
     """An item of a job, and the events that were generated for it so far.
 
     Attributes:
+        continues_until: Until when it waits for a target that can go on from
+            its events, in monotonic time; infinite while it runs.
         complete: Whether all events were generated.
         completed_at: When that was noticed, in monotonic time.
         saved_complete: Whether it was saved for the next holder as complete.
@@ -73,6 +76,7 @@
         self._dropped_events = 0
         self.errors = 0
         self.avoided_targets: set[str] = set()
+        self.continues_until = math.inf
         self.run: SampleRun | None = None
         self.complete = False
         self.completed_at = 0.0
