--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any, NamedTuple, TypedDict
+from typing import NamedTuple
 
 import msgspec
 
@@ -29,8 +29,6 @@
 from hibiscuspin.decisions.recovery import LiveInstance
 from hibiscuspin.decisions.result_reads import ResultSource
 from hibiscuspin.decisions.routes import ForwardRoute
-from hibiscuspin.decisions.samples import SampleEvent
-from hibiscuspin.decisions.software import Software
 from hibiscuspin.edges import StoreError
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.logs import get_logger
@@ -39,13 +37,13 @@
     PeerHttpClient,
     PeerUnreachableError,
 )
+from hibiscuspin.tasks import takeover_requests
 from hibiscuspin.tasks.instances import Instances
 from hibiscuspin.tasks.job_ends import JobEnds
 from hibiscuspin.tasks.job_store import (
     FencedError,
     JobContents,
     JobHead,
-    SampleRuns,
     SavedSamples,
     StoredHead,
     trim_default,
@@ -60,6 +58,7 @@
     ResultsRequest,
     limit_size,
 )
+from hibiscuspin.tasks.takeover_requests import TakeoverRequest
 
 __all__ = ["READ_SLACK_S", "Jobs"]
 
@@ -105,25 +104,6 @@
 _log = get_logger("rollouts")
 
 
-class _AdoptRequest(NamedTuple):
-    """Asks to take over a job, as earlier builds understand it."""
-
-    job: str
-    events_by_name: Mapping[str, Sequence[SampleEvent]]
-    score_by_name: Mapping[str, str] = {}
-    software_by_name: Mapping[str, Software] = {}
-
-
-class _TakeOverRequest(TypedDict):
-    """Asks to take over a job with all that its holder knows of its samples."""
-
-    job: str
-    events_by_name: Mapping[str, Sequence[SampleEvent]]
-    score_by_name: Mapping[str, str]
-    software_by_name: Mapping[str, Software]
-    runs_by_name: Mapping[str, SampleRuns]
-
-
 class _ItemRequest(NamedTuple):
     job: str
     item: str
@@ -924,29 +904,20 @@
         deadline: float,
     ) -> bool:
         """Asks an instance to take a job over; returns whether it did."""
-        events: Any = saved.plain_events_by_name()
-        request: _TakeOverRequest = {
-            "job": job,
-            "events_by_name": events,
-            "score_by_name": saved.score_by_name(),
-            "software_by_name": saved.software_by_name(),
-            "runs_by_name": saved.runs_by_name(),
-        }
-        encoded = msgspec.msgpack.encode(request)
         try:
             return self._call_adoption(
-                member, TAKE_OVER_METHOD, encoded, deadline
+                member,
+                TAKE_OVER_METHOD,
+                takeover_requests.encode(job, saved),
+                deadline,
             )
         except HibiscusError as error:
             if error.kind is not ErrorKind.NOT_FOUND:
                 self._log_refusal(member, error)
                 return False
         # An earlier build, which does not know the method.
-        adopt_request = _AdoptRequest(
-            job, events, request["score_by_name"], request["software_by_name"]
-        )
-        encoded = msgspec.msgpack.encode(trim_default(adopt_request))
-        return self._request_adoption(member, encoded, deadline)
+        request = takeover_requests.encode_earlier(job, saved)
+        return self._request_adoption(member, request, deadline)
 
     def _request_adoption(
         self,
@@ -1000,7 +971,7 @@
         """Assigns an orphaned job; returns whether the instance adopted it."""
         if member.name == self._instances.member.name:
             return self.adopt(job)
-        request = msgspec.msgpack.encode(_AdoptRequest(job, {}))
+        request = takeover_requests.encode_earlier(job, SavedSamples())
         return self._request_adoption(member, request)
 
     def is_held_by(self, member: LiveInstance, job: str) -> bool:
@@ -1156,30 +1127,16 @@
         return b""
 
     def _serve_adopt(self, body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=_AdoptRequest)
-        sent = SavedSamples.from_parts(
-            request.events_by_name,
-            request.score_by_name,
-            request.software_by_name,
-            {},
-        )
-        return self._adopt_for_peer(request.job, sent)
+        return self._adopt_for_peer(takeover_requests.decode_earlier(body))
 
     def _serve_take_over(self, body: bytes) -> bytes:
-        request = msgspec.msgpack.decode(body, type=_TakeOverRequest)
-        sent = SavedSamples.from_parts(
-            request["events_by_name"],
-            request["score_by_name"],
-            request["software_by_name"],
-            request["runs_by_name"],
-        )
-        return self._adopt_for_peer(request["job"], sent)
+        return self._adopt_for_peer(takeover_requests.decode(body))
 
-    def _adopt_for_peer(self, job: str, sent: SavedSamples) -> bytes:
-        if self._reach.is_doubtful and self._held(job) is None:
+    def _adopt_for_peer(self, request: TakeoverRequest) -> bytes:
+        if self._reach.is_doubtful and self._held(request.job) is None:
             return msgspec.msgpack.encode(False)
         try:
-            adopted = self.adopt(job, sent)
+            adopted = self.adopt(request.job, request.samples)
         except StoreError as error:
             raise _store_unavailable(error) from error
         return msgspec.msgpack.encode(adopted)
