Restart the instances of a test with their jobs

The step started new instances and left the old ones running: the job stayed with an old one, whose list of targets nobody refreshed any more. A target that had crashed was then never again the listed incarnation, and samples that had begun could go on nowhere. Under less load the job ends before that.

The old instances are killed, and the new ones take their jobs back, as when an instance restarts. The checks stay; the job must now survive the restart, too.

--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -116,10 +116,14 @@
     elif event.startswith("all restart"):
         refused = fleet.store.scan(STORE_PREFIX, 0.0).values
         if refused and fleet.members["a"].term == "1":
-            # None of the old processes answers the new ones.
+            # None of the old processes answers the new ones, or runs a job.
             fleet.peers.handlers_by_address.clear()
             for name in "abc":
-                fleet.start(name, "2")
+                fleet.kill(name)
+            for name in "abc":
+                jobs = fleet.start(name, "2")
+                for job in jobs.own_unfinished():
+                    assert jobs.adopt(job)
     elif event.startswith("c reaches no other"):
         is_cut = elapsed_s < 3.0
         fleet.peers_by_name["c"].cut_from = {"a", "b"} if is_cut else set()
