Let the holder's links come back first in a test

"a job goes on where it is when no instance reaches a target" failed once beside load: the job was done at b. All links came back at the same moment, and b, which had noticed that before a, took the job when a offered it again, as it should. The links of a now come back 2 s before those of the others. The checks stay.

--- a/features/steps/isolated_instances_steps.py
+++ b/features/steps/isolated_instances_steps.py
@@ -43,6 +43,8 @@
 ONCE_PATH = "/once/x"
 SERVED_SHARE = 0.9
 NOTICE_S = 3.0
+# Longer than the time between two offers of the jobs of an isolated instance.
+HOLDER_LEAD_S = 2.0
 RETURN_S = 1.0
 STEP_S = 0.1
 
@@ -316,13 +318,16 @@
         reach = fleet.discovered_by_name[name].reach
         reach.record_unanswered("t0", monotonic())
 
-    def reconnect() -> None:
-        for links in fleet.links_by_name.values():
-            links.fault = ""
+    def reconnect(names: str) -> None:
+        for name in names:
+            fleet.links_by_name[name].fault = ""
 
-    timer = threading.Timer(seconds, reconnect)
-    timer.start()
-    context.add_cleanup(timer.join)
+    # Otherwise one of the others may rightly take the job as soon as it
+    # reaches a target, before the holder has noticed that it does, too.
+    for names, at_s in (("a", seconds), ("bc", seconds + HOLDER_LEAD_S)):
+        timer = threading.Timer(at_s, reconnect, (names,))
+        timer.start()
+        context.add_cleanup(timer.join)
     for name in "bc":
         reach = fleet.discovered_by_name[name].reach
         assert wait_until(lambda r=reach: r.is_doubtful, NOTICE_S), name  # type: ignore[misc]
