Encode a hand-over once, and keep checks in one place

Found in reading the change once more; no behaviour is changed. A hand-over was encoded anew for each instance that was asked. State reports and orders repeated three checks of their responses, two decisions on recovery had one condition each in its own form, and two test steps stood twice. The response of the HTTP client is always one that knows its surplus bytes.

--- a/features/hand_overs.feature
+++ b/features/hand_overs.feature
@@ -31,7 +31,7 @@
     And the holder of the job stops 2 times
     And results are published again
     Then all results of the job are listed as given up
-    And each sample was sent <runs> times
+    And each sample ran <runs> times
 
     Examples:
       | status | runs |
@@ -58,7 +58,7 @@
     And a is lost and b takes the job over
     And results are published again
     Then all results of the job are listed as given up
-    And each sample was sent 3 times
+    And each sample ran 3 times
 
   # Guards against a record that is joined from those of two texts.
   Scenario Outline: of two records of a sample the newer one is taken whole
--- a/features/steps/hand_overs_steps.py
+++ b/features/steps/hand_overs_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from features.platform_fakes import MemoryStore, job_contents
-from features.steps.platform_jobs_steps import JOB, check_runs
+from features.steps.platform_jobs_steps import JOB
 from hibiscuspin.clock import SystemClock, monotonic
 from hibiscuspin.decisions.samples import SampleEvent
 from hibiscuspin.decisions.saved_samples import SavedSample, merge
@@ -81,11 +81,6 @@
         target.failures_by_request = failures
 
 
-@then("each sample was sent {count:d} times")
-def check_sent(context: Any, count: int) -> None:
-    check_runs(context, count)
-
-
 @given("a {which} record of {count:d} events of text {number:d}, {end}")
 def set_record(
     context: Any, which: str, count: int, number: int, end: str
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -1,8 +1,10 @@
 """Steps on targets that send a response a second time, late."""
 
 import contextlib
+import functools
 import re
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, then, when
@@ -115,25 +117,25 @@
 
 @when("it gets a call that it rejects, and a state report")
 def send_and_read_state(context: Any) -> None:
-    assert send(context, "call", "first").refused
-    try:
-        context.client.fetch_state(monotonic() + CALL_TIMEOUT_S)
-    except TargetError as error:
-        context.error = error
-        return
-    raise AssertionError("a copy was taken for a state report")
+    call_after_rejection(context, context.client.fetch_state)
 
 
 @when("it gets a call that it rejects, and an order")
 def send_and_order(context: Any) -> None:
-    assert send(context, "call", "first").refused
     order = WeightOrder("m", 2, False, "a", 1, 0)
+    call_after_rejection(
+        context, functools.partial(context.client.send_order, order)
+    )
+
+
+def call_after_rejection(context: Any, call: Callable[[float], object]) -> None:
+    assert send(context, "call", "first").refused
     try:
-        context.client.send_order(order, monotonic() + CALL_TIMEOUT_S)
+        outcome = call(monotonic() + CALL_TIMEOUT_S)
     except TargetError as error:
         context.error = error
         return
-    raise AssertionError("a copy was taken for the outcome of an order")
+    raise AssertionError(f"a copy was taken for {outcome}")
 
 
 @then("the other one counts as one that may have run")
--- a/hibiscuspin/decisions/recovery.py
+++ b/hibiscuspin/decisions/recovery.py
@@ -66,11 +66,7 @@
     return [
         job
         for job in jobs
-        if job.unfinished
-        and (
-            job.holder not in members_by_name
-            or members_by_name[job.holder].term != job.term
-        )
+        if job.unfinished and not _is_holder_live(job, members_by_name)
     ]
 
 
@@ -80,12 +76,18 @@
     """Returns the unfinished jobs of live instances, by instance."""
     jobs_by_holder: dict[str, list[str]] = {}
     for job in jobs:
-        member = members_by_name.get(job.holder)
-        if job.unfinished and member is not None and member.term == job.term:
+        if job.unfinished and _is_holder_live(job, members_by_name):
             jobs_by_holder.setdefault(job.holder, []).append(job.job)
     return jobs_by_holder
 
 
+def _is_holder_live(
+    job: StoredJob, members_by_name: Mapping[str, LiveInstance]
+) -> bool:
+    member = members_by_name.get(job.holder)
+    return member is not None and member.term == job.term
+
+
 def may_reclaim(
     orphan: StoredJob,
     last_known: LiveInstance | None,
--- a/hibiscuspin/edges/http.py
+++ b/hibiscuspin/edges/http.py
@@ -307,8 +307,7 @@
         """Returns the connection to the pool if the response is complete."""
         self._holding.release()
         self._partial_line = b""
-        surplus = getattr(self._response, "surplus", False)
-        if self._response.isclosed() and not surplus:
+        if self._response.isclosed() and not self._response.surplus:
             self._client.release(self._connection, _keep_alive_s(self.headers))
         else:
             self._client.discard(self._connection)
--- a/hibiscuspin/platform/engines.py
+++ b/hibiscuspin/platform/engines.py
@@ -225,8 +225,8 @@
         stream.discard()
         raise self._foreign_response(stream, request.request_id)
 
-    def _check_no_identity(self, response: HttpResponse) -> None:
-        """Checks that a response does not belong to a caller's request.
+    def _check_unidentified(self, response: HttpResponse) -> None:
+        """Reads what a response to a report or an order says of its target.
 
         Reports and orders have no id, so a response with that of a call that
         the connection has carried is a late copy.
@@ -237,6 +237,8 @@
         found = response.headers.get(words.REQUEST_ID_HEADER)
         if found in response.carried_call_ids:
             raise self._foreign_response(response, "")
+        self._check_draining(response)
+        self._check_limit(response, 0.0, may_end=False)
 
     def _foreign_response(
         self, response: HttpStream | HttpResponse, request_id: str
@@ -347,9 +349,7 @@
             headers={words.EXPECTED_TARGET_HEADER: self._name},
             check=do_nothing,
         )
-        self._check_no_identity(response)
-        self._check_draining(response)
-        self._check_limit(response, 0.0, may_end=False)
+        self._check_unidentified(response)
         raw = _decode_body(response)
         try:
             return TargetState(
@@ -390,9 +390,7 @@
             },
             check=do_nothing,
         )
-        self._check_no_identity(response)
-        self._check_draining(response)
-        self._check_limit(response, 0.0, may_end=False)
+        self._check_unidentified(response)
         detail = (
             f"{response.status} {response.body[:120].decode(errors='replace')}"
         )
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -876,6 +876,8 @@
         members = self._instances.members()
         members.pop(self._instances.member.name, None)
         members = self.able_holders(local.contents.organisation, members)
+        request = TakeoverRequest(job, saved)
+        encoded = takeover_requests.encode(request)
         refused = self.suspects()
         while member := recovery.choose_holder(
             job, members, jobs_by_holder, refused
@@ -883,7 +885,7 @@
             if self._clock.monotonic() >= deadline:
                 break
             jobs_by_holder[member.name] = jobs_by_holder.get(member.name, 0) + 1
-            if self._request_takeover(member, job, saved, deadline):
+            if self._request_takeover(member, request, encoded, deadline):
                 _log.info(
                     "Job handed over.",
                     extra={"job": job, "to": member.name},
@@ -899,25 +901,22 @@
     def _request_takeover(
         self,
         member: LiveInstance,
-        job: str,
-        saved: SavedSamples,
+        request: TakeoverRequest,
+        encoded: bytes,
         deadline: float,
     ) -> bool:
         """Asks an instance to take a job over; returns whether it did."""
         try:
             return self._call_adoption(
-                member,
-                TAKE_OVER_METHOD,
-                takeover_requests.encode(job, saved),
-                deadline,
+                member, TAKE_OVER_METHOD, encoded, deadline
             )
         except HibiscusError as error:
             if error.kind is not ErrorKind.NOT_FOUND:
                 self._log_refusal(member, error)
                 return False
         # An earlier build, which does not know the method.
-        request = takeover_requests.encode_earlier(job, saved)
-        return self._request_adoption(member, request, deadline)
+        earlier = takeover_requests.encode_earlier(request)
+        return self._request_adoption(member, earlier, deadline)
 
     def _request_adoption(
         self,
@@ -971,7 +970,9 @@
         """Assigns an orphaned job; returns whether the instance adopted it."""
         if member.name == self._instances.member.name:
             return self.adopt(job)
-        request = takeover_requests.encode_earlier(job, SavedSamples())
+        request = takeover_requests.encode_earlier(
+            TakeoverRequest(job, SavedSamples())
+        )
         return self._request_adoption(member, request)
 
     def is_held_by(self, member: LiveInstance, job: str) -> bool:
--- a/hibiscuspin/tasks/takeover_requests.py
+++ b/hibiscuspin/tasks/takeover_requests.py
@@ -47,8 +47,9 @@
     software_by_name: Mapping[str, Software] = {}
 
 
-def encode(job: str, samples: SavedSamples) -> bytes:
+def encode(request: TakeoverRequest) -> bytes:
     """Encodes a request."""
+    job, samples = request
     events: Any = samples.plain_events_by_name()
     body: _Body = {
         "job": job,
@@ -76,8 +77,9 @@
     return TakeoverRequest(body["job"], samples)
 
 
-def encode_earlier(job: str, samples: SavedSamples) -> bytes:
+def encode_earlier(request: TakeoverRequest) -> bytes:
     """Encodes a request as builds before `encode` understand it."""
+    job, samples = request
     events: Any = samples.plain_events_by_name()
     body = _EarlierBody(
         job, events, samples.score_by_name(), samples.software_by_name()
