--- /dev/null
+++ b/review/third/__init__.py
@@ -0,0 +1,1 @@
+"""What the scripts of the third review share."""
