--- a/review/third/engine.py
+++ b/review/third/engine.py
@@ -53,8 +53,10 @@
         """Returns the models as reports and entries show them."""
         if not self.args.model:
             return []
-        row = {"name": self.args.model, "version": self.version, "adapters": []}
-        return [row]
+        return [
+            {"name": name, "version": self.version, "adapters": []}
+            for name in self.args.model.split(",")
+        ]
 
     def register(self) -> None:
         """Writes the entry every heartbeat, forever."""
@@ -232,7 +234,7 @@
     parser = argparse.ArgumentParser()
     for flag in ("name", "service", "zone", "address", "store", "record"):
         parser.add_argument(f"--{flag}", required=True)
-    parser.add_argument("--model", default="")
+    parser.add_argument("--model", default="", help="names, with commas")
     parser.add_argument("--slots", type=int, default=6)
     args = parser.parse_args()
     engine = Engine(args)
