review: show that an open step is gone after its retention time

The coordinator deletes a step 30 s after status_s, whether or not its trainer has ended it. A machine that had listed all its results answers 404 once it was killed and has started again.

--- a/review/third/fleet.py
+++ b/review/third/fleet.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
@@ -75,6 +76,8 @@
         )
         self._started_at = time.time()
         self._version = 0
+        # Bounds that differ from the usual ones.
+        self.bounds: dict[str, int] = {}
         self.front_by_name: dict[str, str] = {}
         self._ready_by_name: dict[str, str] = {}
         self.store = self._address()
@@ -169,6 +172,12 @@
         value = base64.b64decode(answer.json()["value"])
         return json.loads(value)["holder"]
 
+    def coordinator(self) -> str:
+        """Returns which machine orders engines, by its key in the store."""
+        path = "kv-key?key=hibiscuspin/live/coordinator"
+        answer = self._store_call("GET", path)
+        return base64.b64decode(answer.json()["value"]).decode()
+
     def configure(
         self,
         routes: Sequence[Mapping[str, Any]],
@@ -250,7 +259,7 @@
             "bootstrap": True,
             "limits": {"memory_mb": 300, "max_fds": 4100, **limits},
             "heartbeat_ms": 1200,
-            "bounds": BOUNDS,
+            "bounds": {**BOUNDS, **self.bounds},
             "platform": {
                 "address": self.store,
                 "form": "kv",
@@ -355,10 +364,12 @@
 
 def run_script(script: str, body: Any) -> None:
     """Runs a script in a fleet and exits with its code."""
+    # The processes are ended on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNUSABLE))
     try:
         with Fleet.running(script) as fleet:
             code = body(fleet)
-    except TimeoutError as error:
-        print(error, file=sys.stderr)
+    except Exception:
+        traceback.print_exc()
         code = UNUSABLE
     sys.exit(code)
