Promise "not run" of a step only where nobody may accept it

An instance had asked the usual holder, which did not answer in time, since its write to the silent store was under way. The instance had no memory for the step, failed to read the step's head, and passed the error of that read on, which says "not run" by default.

All that follows a call without an answer now runs in one block that turns errors saying "not run" into "outcome unknown", so that no branch has to look for itself.

--- a/features/first_holders.feature
+++ b/features/first_holders.feature
@@ -44,6 +44,22 @@
       | heard   | store_unavailable |
       | lost    | outcome_unknown   |
 
+  # Guards against a job that is answered "not run" and runs, since an instance
+  # that did not answer has accepted it.
+  Scenario Outline: a step that another instance may accept is not called not run
+    Given the store is down
+    And the answers of the preferred instance are <answers>
+    And the other instances are <state>
+    When another instance is sent a step
+    Then the step is refused with "<code>"
+
+    Examples:
+      | state          | answers | code              |
+      | full           | heard   | store_unavailable |
+      | full           | lost    | outcome_unknown   |
+      | stopping       | heard   | stopping          |
+      | stopping       | lost    | outcome_unknown   |
+
   Scenario: while the store refuses, the preferred holder answers at once
     Given the store is down
     When another instance is sent a step with 1 s to live, and the store is back after 0.4 s
--- a/features/steps/first_holders_steps.py
+++ b/features/steps/first_holders_steps.py
@@ -1,5 +1,6 @@
 """Steps on which instance holds a job first."""
 
+import math
 import threading
 from typing import Any
 
@@ -83,6 +84,15 @@
         memory.peers.answerless_addresses.add(address)
 
 
+@given("the other instances are {state}")
+def limit_others(context: Any, state: str) -> None:
+    for name in "abc":
+        jobs = context.memory.jobs_by_name[name]
+        if name != preferred(context):
+            jobs._stopping = state == "stopping"
+            jobs._max_held_bytes = 0 if state == "full" else math.inf
+
+
 @when("another instance is sent a step")
 def send_other(context: Any) -> None:
     context.refusal = None
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -4,10 +4,11 @@
 holder does not respond. The instance that accepts a job is its first holder.
 """
 
+import contextlib
 import math
 import threading
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -30,7 +31,7 @@
 from hibiscuspin.decisions.result_reads import ResultSource
 from hibiscuspin.decisions.routes import ForwardRoute
 from hibiscuspin.edges import StoreError
-from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.peers.rpc import (
     PeerCallHandler,
@@ -194,21 +195,27 @@
         """
         local = self._job_by_id.get(contents.job)
         if local is not None:
-            _check_access(contents.job, local.stored.head, requester)
-            return
+            stored = local.stored
+        else:
+            stored = self._place(contents, route, deadline)
+        _check_access(contents.job, stored.head, requester)
+
+    def _place(
+        self, contents: JobContents, route: ForwardRoute, deadline: float
+    ) -> StoredHead:
+        """Has a job accepted by its preferred holder, or accepts it here."""
         if self._must_wait_for_upgrade(contents):
             # It may have been accepted before an older build came back.
-            self._check_exists(contents.job, requester)
-            return
+            return self._find_before_upgrade(contents.job)
         accepted: bool | None = False
         for holder in self._holders_to_ask(contents.model):
-            accepted = self._request_acceptance(holder, contents, requester)
-            if accepted:
-                return
+            accepted, stored = self._request_acceptance(holder, contents)
+            if stored is not None:
+                return stored
             if accepted is None:
                 break
-        stored = self._accept(contents, route, deadline, applied=accepted)
-        _check_access(contents.job, stored.head, requester)
+        with _refused_truthfully(may_be_accepted=accepted is None):
+            return self._accept(contents, route, deadline)
 
     def _must_wait_for_upgrade(self, contents: JobContents) -> bool:
         return (
@@ -217,14 +224,14 @@
             and not self._formats.may_name_organisation()
         )
 
-    def _check_exists(self, job: str, requester: Requester) -> None:
-        """Checks that a job exists which the requester may use.
+    def _find_before_upgrade(self, job: str) -> StoredHead:
+        """Returns the head of a job that was accepted before.
 
         Raises:
             HibiscusError: `UPGRADE_IN_PROGRESS` if there is no such job.
         """
         try:
-            stored = self._head(job)
+            return self._head(job)
         except HibiscusError as error:
             if error.kind is not ErrorKind.NOT_FOUND:
                 raise
@@ -233,7 +240,6 @@
                 "A live instance runs a build that can't read a job of an "
                 "organisation.",
             ) from error
-        _check_access(job, stored.head, requester)
 
     def able_holders(
         self, organisation: str, members: Mapping[str, LiveInstance]
@@ -259,16 +265,13 @@
         return [holder] if holder != own else []
 
     def _request_acceptance(
-        self, holder: LiveInstance, contents: JobContents, requester: Requester
-    ) -> bool | None:
+        self, holder: LiveInstance, contents: JobContents
+    ) -> tuple[bool | None, StoredHead | None]:
         """Asks another instance to accept and hold a job.
 
         Returns:
-            Whether it accepted the job; None if it may still accept it.
-
-        Raises:
-            HibiscusError: It has a job of this id that the requester may not
-                use.
+            Whether it accepted the job, None if it may still accept it; and
+            the job's head if it did.
         """
         try:
             body = self._peers.call(
@@ -285,8 +288,7 @@
         else:
             stored = msgspec.msgpack.decode(body, type=StoredHead)
             self._head_by_id[contents.job] = stored
-            _check_access(contents.job, stored.head, requester)
-            return True
+            return True, stored
         _log.info(
             "Preferred holder did not accept a job.",
             extra={
@@ -296,7 +298,7 @@
                 "reason": reason,
             },
         )
-        return accepted
+        return accepted, None
 
     def _serve_accept(self, body: bytes) -> bytes:
         contents = msgspec.msgpack.decode(body, type=JobContents)
@@ -316,7 +318,6 @@
             contents,
             route_and_service[0],
             deadline,
-            applied=False,
             retry_refused=False,
         )
         return msgspec.msgpack.encode(stored)
@@ -327,7 +328,6 @@
         route: ForwardRoute,
         deadline: float,
         *,
-        applied: bool | None,
         retry_refused: bool = True,
     ) -> StoredHead:
         """Persists a job and starts it here unless it exists.
@@ -336,19 +336,13 @@
             contents: The job.
             route: Its route.
             deadline: When the trainer stops waiting, in monotonic time.
-            applied: None if another instance may have accepted the job.
             retry_refused: Whether to try again while the store certainly did
                 not take the job; a caller that tries itself need not wait.
         """
         if self._stopping:
-            raise HibiscusError(
-                ErrorKind.STOPPING
-                if applied is False
-                else ErrorKind.OUTCOME_UNKNOWN,
-                "The instance is stopping.",
-            )
+            raise HibiscusError(ErrorKind.STOPPING, "The instance is stopping.")
         if self._held_bytes + contents.size_bytes > self._max_held_bytes:
-            return self._find_accepted(contents, applied)
+            return self._find_accepted(contents)
         member = self._instances.member
         head: JobHead = {
             "holder": member.name,
@@ -363,7 +357,7 @@
             head["organisation"] = contents.organisation
         if route.public:
             head["public"] = True
-        stored = self._create(contents, head, deadline, applied, retry_refused)
+        stored = self._create(contents, head, deadline, retry_refused)
         created_here = stored.head["submitted_at"] == head["submitted_at"]
         if created_here and self._is_held_here(stored.head):
             self._start(
@@ -387,14 +381,11 @@
         )
         return stored
 
-    def _find_accepted(
-        self, contents: JobContents, applied: bool | None
-    ) -> StoredHead:
+    def _find_accepted(self, contents: JobContents) -> StoredHead:
         """Returns the head of a job that was accepted before.
 
         Raises:
-            HibiscusError: `OVERLOADED` if it was not, `OUTCOME_UNKNOWN` if
-                another instance may still accept it, `STORE_UNAVAILABLE`.
+            HibiscusError: `OVERLOADED` if it was not, `STORE_UNAVAILABLE`.
         """
         try:
             return self._head(contents.job)
@@ -402,9 +393,7 @@
             if error.kind is not ErrorKind.NOT_FOUND:
                 raise
         raise HibiscusError(
-            ErrorKind.OVERLOADED
-            if applied is False
-            else ErrorKind.OUTCOME_UNKNOWN,
+            ErrorKind.OVERLOADED,
             f"The instance holds jobs of {self._held_bytes} bytes and can't "
             f"hold {contents.size_bytes} bytes more.",
         )
@@ -414,10 +403,10 @@
         contents: JobContents,
         head: JobHead,
         deadline: float,
-        applied: bool | None,
         retry_refused: bool,
     ) -> StoredHead:
         end = min(deadline, self._clock.monotonic() + ACCEPT_TIMEOUT_S)
+        applied: bool | None = False
         while True:
             try:
                 return self._store.create(contents, head, end)
@@ -1158,6 +1147,26 @@
         raise HibiscusError(ErrorKind.NOT_FOUND, f"Job {job} does not exist.")
 
 
+@contextlib.contextmanager
+def _refused_truthfully(*, may_be_accepted: bool) -> Iterator[None]:
+    """Turns errors that say "not run" into `OUTCOME_UNKNOWN` within a block.
+
+    Args:
+        may_be_accepted: Whether something that was done before may still have
+            the job accepted; otherwise errors stay as they are.
+    """
+    try:
+        yield
+    except HibiscusError as error:
+        if not may_be_accepted or error.ran is not ExecutionStatus.NO:
+            raise
+        raise HibiscusError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f"An earlier attempt to accept the job may take effect. "
+            f"{error.detail}",
+        ) from error
+
+
 def _key_required() -> HibiscusError:
     return HibiscusError(
         ErrorKind.NO_TOKEN, "The job can't be used without a key."
