Record errors of items before they run again

Errors were saved together with events, by their number, so a step with a few failing items came to no save before its holder was lost, and the next one began to count anew.

Errors and samples that were given up now have a record of their own, written at once for all failures of a period of 0.1 s. A failed sample runs again only once its last error is on record, so a lost holder takes one error with it at most. The record does not depend on the revision of the saved events: failures only grow in number.

--- a/features/hand_overs.feature
+++ b/features/hand_overs.feature
@@ -60,6 +60,34 @@
     Then all results of the job are listed as given up
     And each sample ran 3 times
 
+  # Guards against the same where holders are killed soon after they took over,
+  # before they have saved samples or published results.
+  Scenario Outline: an item that engines answer with <status> keeps to its budget through kills
+    Given results that are not published
+    And engines that answer each run with <status>
+    When a accepts a job of 1 groups of 2 samples with 5 events
+    And the holder of the job is killed 3 times, each after 0.3 s
+    And results are published again
+    Then all results of the job are listed as given up
+    And each sample ran at most <runs> times
+
+    Examples:
+      | status | runs |
+      | 500    | 9    |
+      | 422    | 3    |
+
+  # Guards against a run whose error is forgotten with its holder, together with
+  # the errors before it.
+  Scenario: a failed sample waits until its error is on record
+    Given a store that takes only heads of jobs
+    And engines that answer each run with 500
+    When a accepts a job of 1 groups of 2 samples with 5 events
+    And 0.4 s pass
+    Then each sample ran 1 times
+    When the store takes all writes again
+    Then all results of the job are listed as given up
+    And each sample ran 3 times
+
   # Guards against a record that is joined from those of two texts.
   Scenario Outline: of two records of a sample the newer one is taken whole
     Given a stored record of <stored> events of text <old>, <stored_end>
--- a/features/scoring_decisions.feature
+++ b/features/scoring_decisions.feature
@@ -57,3 +57,13 @@
       | 0      | 1.0    | 0.7 | due     |
       | 0      | 0.9    | 0.7 | not due |
       | 0      | 1.0    | 0.6 | not due |
+
+  Scenario Outline: the failures of a period are recorded together
+    When of <count> samples the last failure is not on record, <ago> s after a record
+    Then recording them is <due>
+
+    Examples:
+      | count | ago | due     |
+      | 0     | 9.0 | not due |
+      | 1     | 0.2 | due     |
+      | 50    | 0.0 | not due |
--- a/features/steps/hand_overs_steps.py
+++ b/features/steps/hand_overs_steps.py
@@ -14,9 +14,16 @@
 from hibiscuspin.decisions.samples import SampleEvent
 from hibiscuspin.decisions.saved_samples import SavedSample, merge
 from hibiscuspin.decisions.software import Software
+from hibiscuspin.edges import StoreError
+from hibiscuspin.edges.transactions import (
+    CommitConflict,
+    CommitResult,
+    Transaction,
+)
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.tasks import jobs as jobs_task
 from hibiscuspin.tasks.job_store import (
+    HEAD_PREFIX,
     JobHead,
     JobStore,
     SavedSamples,
@@ -66,6 +73,52 @@
         time.sleep(0.1)
 
 
+@when("the holder of the job is killed {count:d} times, each after {after:g} s")
+def kill_holders(context: Any, count: int, after: float) -> None:
+    memory = context.memory
+    store = JobStore(memory.store, memory.clock)
+    for number in range(count):
+        time.sleep(after)
+        stored = store.head(JOB, monotonic() + WRITE_TIMEOUT_S)
+        assert stored is not None
+        killed = stored.head["holder"]
+        memory.kill(killed)
+        successor = min(memory.jobs_by_name)
+        assert memory.jobs_by_name[successor].adopt(JOB)
+        memory.start(killed, str(number + 2))
+
+
+@then("each sample ran at most {count:d} times")
+def check_most_runs(context: Any, count: int) -> None:
+    targets = context.memory.target_by_name.values()
+    for item in context.job.items:
+        runs = sum(len(target.runs.get(item.name, ())) for target in targets)
+        assert 0 < runs <= count, (item.name, runs)
+
+
+@given("a store that takes only heads of jobs")
+def refuse_writes(context: Any) -> None:
+    def commit(
+        transaction: Transaction, deadline: float
+    ) -> CommitResult | CommitConflict:
+        keys = [put.key for put in transaction.puts]
+        if not any(key.startswith(HEAD_PREFIX) for key in keys):
+            raise StoreError(f"writes of {keys} are refused", False)
+        outcome: CommitResult | CommitConflict = store_commit(
+            transaction, deadline
+        )
+        return outcome
+
+    store = context.memory.store
+    store_commit = context.store_commit = store.commit
+    store.commit = commit
+
+
+@when("the store takes all writes again")
+def accept_writes(context: Any) -> None:
+    context.memory.store.commit = context.store_commit
+
+
 @given("engines that answer each run with {status:d}")
 def fail_runs(context: Any, status: int) -> None:
     for target in context.memory.target_by_name.values():
--- a/features/steps/scoring_decisions_steps.py
+++ b/features/steps/scoring_decisions_steps.py
@@ -148,3 +148,16 @@
 @then("saving them is {due}")
 def check_save(context: Any, due: str) -> None:
     assert context.save_due == (due == "due")
+
+
+@when(
+    "of {count:d} samples the last failure is not on record, {ago:g} s after a "
+    "record"
+)
+def decide_record(context: Any, count: int, ago: float) -> None:
+    context.record_due = job_order.failures_due(count, 100.0 - ago, 100.0)
+
+
+@then("recording them is {due}")
+def check_record(context: Any, due: str) -> None:
+    assert context.record_due == (due == "due")
--- a/hibiscuspin/decisions/job_order.py
+++ b/hibiscuspin/decisions/job_order.py
@@ -4,6 +4,10 @@
 long samples start first. With too few engines to complete all samples by the
 due time, starting all groups would complete none of them in time, so groups
 are run one after the other, those with the least work first.
+
+Load pattern: holders of a job are killed one after the other while a few of its
+items fail at each run. These items have few events, so no save of events is due
+for them, and each holder would count their errors anew.
 """
 
 from collections.abc import Mapping, Sequence
@@ -12,6 +16,7 @@
 __all__ = [
     "SampleSize",
     "UnpublishedResults",
+    "failures_due",
     "publish_due",
     "save_due",
     "start_order",
@@ -46,6 +51,9 @@
 # Most samples are scored and published sooner than this. A complete text that
 # waits longer, as while its scoring service is down, is saved by itself.
 MAX_UNSAVED_TEXT_S = 1.0
+# Failed samples wait for their record. One record has all failures of a period,
+# as of an engine that fails each run.
+FAILURES_PERIOD_S = 0.1
 
 
 class SampleSize(NamedTuple):
@@ -184,3 +192,14 @@
         return False
     overdue = now - oldest_text_at >= MAX_UNSAVED_TEXT_S
     return overdue or new_events >= MIN_SAVE_EVENTS
+
+
+def failures_due(unrecorded: int, recorded_at: float, now: float) -> bool:
+    """Tells whether to record failures of samples for a possible new holder.
+
+    Args:
+        unrecorded: The number of samples whose last failure is not on record.
+        recorded_at: When failures were last recorded.
+        now: The monotonic time.
+    """
+    return unrecorded > 0 and now - recorded_at >= FAILURES_PERIOD_S
--- a/hibiscuspin/tasks/job_store.py
+++ b/hibiscuspin/tasks/job_store.py
@@ -16,7 +16,7 @@
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions.recovery import StoredJob
 from hibiscuspin.decisions.samples import SampleEvent, software_of
-from hibiscuspin.decisions.saved_samples import SavedSample
+from hibiscuspin.decisions.saved_samples import SavedSample, merge
 from hibiscuspin.decisions.software import Software
 from hibiscuspin.edges import StoreError
 from hibiscuspin.edges.transactions import (
@@ -54,6 +54,7 @@
 _SCORES_SUFFIX = "/scores"
 _SOFTWARE_SUFFIX = "/software"
 _RUNS_SUFFIX = "/runs"
+_FAILURES_SUFFIX = "/failures"
 
 # Values are limited to 1 MB on the wire, where base64 adds a third.
 MAX_PART_BYTES = 700_000
@@ -469,7 +470,6 @@
             FencedError: The job has another head.
             StoreError: The outcome is unknown.
         """
-        head_key = HEAD_PREFIX + job
         events_key = _EVENTS_PREFIX + job
         optional_parts = {
             events_key + _SCORES_SUFFIX: saved.score_by_name(),
@@ -487,6 +487,41 @@
             if part
         ]
         deletes = [key for key, part in optional_parts.items() if not part]
+        self._commit_as_holder(job, stored, puts, deletes, deadline)
+
+    def save_failures(
+        self,
+        job: str,
+        stored: StoredHead,
+        runs_by_name: Mapping[str, SampleRuns],
+        deadline: float,
+    ) -> None:
+        """Saves how unpublished samples have failed, apart from their events.
+
+        Args:
+            job: The job's id.
+            stored: The head under which the caller holds the job.
+            runs_by_name: The errors of all samples that have any, and which
+                samples were given up.
+            deadline: When to give up, in monotonic time.
+
+        Raises:
+            FencedError: The job has another head.
+            StoreError: The outcome is unknown.
+        """
+        key = _EVENTS_PREFIX + job + _FAILURES_SUFFIX
+        puts = [PutOperation(key, _pack(runs_by_name))]
+        self._commit_as_holder(job, stored, puts, [], deadline)
+
+    def _commit_as_holder(
+        self,
+        job: str,
+        stored: StoredHead,
+        puts: Sequence[PutOperation],
+        deletes: Sequence[str],
+        deadline: float,
+    ) -> None:
+        head_key = HEAD_PREFIX + job
         outcome = self._store.commit(
             Transaction({head_key: stored.revision}, puts, deletes), deadline
         )
@@ -501,6 +536,7 @@
         value_by_key = {value.key: value for value in scan.values}
         events = value_by_key.get(events_key)
         scores = value_by_key.get(events_key + _SCORES_SUFFIX)
+        failures = value_by_key.get(events_key + _FAILURES_SUFFIX)
         # A build that does not know a part leaves an earlier one as it is.
         software, runs = (
             part
@@ -511,7 +547,7 @@
                 value_by_key.get(events_key + _RUNS_SUFFIX),
             )
         )
-        return SavedSamples.from_parts(
+        saved = SavedSamples.from_parts(
             _unpack(events.value, dict[str, list[SampleEvent]])
             if events
             else {},
@@ -519,6 +555,12 @@
             _unpack(software.value, dict[str, Software]) if software else {},
             _unpack(runs.value, dict[str, SampleRuns]) if runs else {},
         )
+        if failures is None:
+            return saved
+        # Whenever they were recorded: a sample's failures only grow in number.
+        rows = _unpack(failures.value, dict[str, SampleRuns])
+        failed = SavedSamples.from_parts({}, {}, {}, rows)
+        return SavedSamples(merge(saved.by_name, failed.by_name))
 
     def replace_head(
         self, job: str, stored: StoredHead, head: JobHead, deadline: float
@@ -555,6 +597,7 @@
             events_key + _SCORES_SUFFIX,
             events_key + _SOFTWARE_SUFFIX,
             events_key + _RUNS_SUFFIX,
+            events_key + _FAILURES_SUFFIX,
             HEAD_PREFIX + job,
         ]
         self._store.commit(Transaction({}, (), rest), deadline)
--- a/hibiscuspin/tasks/job_writer.py
+++ b/hibiscuspin/tasks/job_writer.py
@@ -14,6 +14,7 @@
 
 from hibiscuspin.clock import Clock
 from hibiscuspin.decisions import job_order
+from hibiscuspin.decisions.saved_samples import SavedSample
 from hibiscuspin.edges import StoreError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.tasks.job_store import (
@@ -110,18 +111,19 @@
         self._retry_at = 0.0
         self._saved_at = self._verified_at = now
         self._saved_progress = 0
+        self._failures_recorded_at = -math.inf
         self._group_by_name = {item.name: item.group for item in contents.items}
         groups = set(self._group_by_name.values())
         self._total_groups = len(groups)
         self._required_groups = min(
             contents.required_groups or len(groups), len(groups)
         )
-        published_names = {result.name for result in published}
+        self._published_names = {result.name for result in published}
         # Counts of unfinished and of unpublished items by group.
         self._unfinished_by_group = Counter(
             item.group
             for item in contents.items
-            if item.name not in published_names
+            if item.name not in self._published_names
         )
         self._unpublished_by_group = Counter(self._unfinished_by_group)
 
@@ -212,8 +214,16 @@
             (s.completed_at for s in samples if _is_unsaved_text(s)),
             default=math.inf,
         )
+        unrecorded = len(
+            self._unpublished(s for s in samples if s.has_unrecorded_failure)
+        )
         if self._chunk_to_publish is not None:
             self._publish(self._chunk_to_publish)
+        elif job_order.failures_due(
+            unrecorded, self._failures_recorded_at, now
+        ):
+            self._failures_recorded_at = now
+            self._record_failures(samples)
         elif job_order.save_due(
             progress - self._saved_progress, oldest_text_at, self._saved_at, now
         ):
@@ -256,6 +266,7 @@
             self._chunk_to_publish = None
             self._published_at = self._verified_at = self._clock.monotonic()
             for result in chunk.results:
+                self._published_names.add(result.name)
                 self._unpublished_by_group[
                     self._group_by_name[result.name]
                 ] -= 1
@@ -291,6 +302,39 @@
 
         self._submit(call, finish)
 
+    def _record_failures(self, samples: Sequence[Sample]) -> None:
+        failed = [s for s in self._unpublished(samples) if s.has_failed]
+        failures = [sample.failures for sample in failed]
+        saved = SavedSamples(
+            {
+                sample.item.name: SavedSample(
+                    errors=sample.errors, given_up=sample.given_up
+                )
+                for sample in failed
+            }
+        )
+
+        def call(deadline: float) -> None:
+            self._store.save_failures(
+                self._job, self.stored, saved.runs_by_name(), deadline
+            )
+
+        def finish(result: None) -> None:
+            self._verified_at = self._clock.monotonic()
+            for sample, recorded in zip(failed, failures, strict=True):
+                sample.recorded_failures = recorded
+            _log.info(
+                "Failures of samples recorded.",
+                extra={
+                    "job": self._job,
+                    "samples": len(failed),
+                    "errors": sum(row.errors for row in failures),
+                    "given_up": sum(row.given_up for row in failures),
+                },
+            )
+
+        self._submit(call, finish)
+
     def _verify(self) -> None:
         """Checks whether the job was ended or taken over elsewhere."""
         revision = self.stored.revision
@@ -305,18 +349,18 @@
 
         self._submit(call, finish)
 
+    def _unpublished(self, samples: Iterable[Sample]) -> list[Sample]:
+        published = self._published_names
+        return [s for s in samples if s.item.name not in published]
+
     def _samples_to_save(self, samples: Sequence[Sample]) -> list[Sample]:
         """Returns the unpublished samples that are worth a save.
 
         Those that failed and the complete ones go before the others, and longer
         ones before shorter ones.
         """
-        published_names = {result.name for result in self._published}
         unpublished = [
-            sample
-            for sample in samples
-            if sample.item.name not in published_names
-            and _is_worth_saving(sample)
+            s for s in self._unpublished(samples) if _is_worth_saving(s)
         ]
         unpublished.sort(
             key=lambda s: (not s.has_failed, not s.complete, -len(s.events))
--- a/hibiscuspin/tasks/sample_runs.py
+++ b/hibiscuspin/tasks/sample_runs.py
@@ -28,7 +28,7 @@
 from hibiscuspin.tasks.incarnations import serving_software
 from hibiscuspin.tasks.job_store import JobItem
 
-__all__ = ["RunLimits", "Sample", "SampleRun"]
+__all__ = ["RunLimits", "Sample", "SampleFailures", "SampleRun"]
 
 # Longer than the 0.9 s for which a weight load at full speed pauses an engine.
 STALL_TIMEOUT_S = 1.4
@@ -53,6 +53,18 @@
     events: list[SampleEvent]
 
 
+class SampleFailures(NamedTuple):
+    """How a sample has failed so far.
+
+    Attributes:
+        errors: How many of its runs ended with an error of the engine.
+        given_up: Whether its result is that it failed.
+    """
+
+    errors: int = 0
+    given_up: bool = False
+
+
 class Sample:
     """An item of a job, and the events that were generated for it so far.
 
@@ -62,6 +74,8 @@
         complete: Whether all events were generated.
         completed_at: When that was noticed, in monotonic time.
         saved_complete: Whether it was saved for the next holder as complete.
+        recorded_failures: Its failures that this holder has recorded for the
+            next one.
         score: The score of a complete sample; None while it has none.
         scoring: Whether the sample is queued for scoring.
         finished: Whether its result was passed to the writer.
@@ -81,6 +95,7 @@
         self.complete = False
         self.completed_at = 0.0
         self.saved_complete = False
+        self.recorded_failures = SampleFailures()
         self.score: str | None = None
         self.scoring = False
         self.finished = False
@@ -102,6 +117,16 @@
         """Whether an engine failed to run it, or it was given up."""
         return self.errors > 0 or self.given_up
 
+    @property
+    def failures(self) -> SampleFailures:
+        """How it has failed so far."""
+        return SampleFailures(self.errors, self.given_up)
+
+    @property
+    def has_unrecorded_failure(self) -> bool:
+        """Whether the next holder would not know of its last failure."""
+        return self.has_failed and self.failures != self.recorded_failures
+
     def begin_anew(self) -> None:
         """Drops the text, which no run may continue."""
         beginning, events = self._text
@@ -127,17 +152,24 @@
 
     @property
     def needs_run(self) -> bool:
-        """Whether it waits for a run on an engine."""
-        return self.run is None and not self.complete and not self.finished
+        """Whether it waits for a run on an engine.
+
+        After an error it runs again only once that is on record, so that the
+        loss of its holder makes at most one error forgotten.
+        """
+        if self.run is not None or self.complete or self.finished:
+            return False
+        return not self.has_unrecorded_failure
 
     @property
     def progress(self) -> int:
         """How much a holder that takes over from the last save would miss.
 
-        Each generated event, its score and each failed run count as one.
+        Each generated event and its score count as one. Failures are recorded
+        by themselves.
         """
         generated = self._dropped_events + len(self.events)
-        return generated + (self.score is not None) + self.errors
+        return generated + (self.score is not None)
 
     @property
     def begun_by(self) -> Software | None:
