Count earlier attempts when a step is refused

An instance that is asked to accept a step refused it for certain, also while an earlier attempt to accept the same step there was under way or had ended without a response of the store. The asking instance then told the caller "not run" of a step that could still run.

An instance now counts the attempts for each step, and turns a refusal beside an earlier one that may take effect into "outcome unknown".

--- a/features/first_holders.feature
+++ b/features/first_holders.feature
@@ -60,6 +60,22 @@
       | stopping       | heard   | stopping          |
       | stopping       | lost    | outcome_unknown   |
 
+  # Guards against the same where that instance refuses the step by then, but
+  # an earlier attempt to accept it there may still take effect.
+  Scenario Outline: a step that was sent before is not called not run
+    Given all commits are lost before their effect
+    And the other instances are full
+    When the preferred instance is sent the step with 0.6 s to live
+    And the store is down from then on
+    And <wait> s pass
+    And another instance is sent a step
+    Then the step is refused with "outcome_unknown"
+
+    Examples: under way, and given up without a response of the store
+      | wait |
+      | 0.2  |
+      | 1.0  |
+
   Scenario: while the store refuses, the preferred holder answers at once
     Given the store is down
     When another instance is sent a step with 1 s to live, and the store is back after 0.4 s
--- a/features/steps/first_holders_steps.py
+++ b/features/steps/first_holders_steps.py
@@ -1,5 +1,6 @@
 """Steps on which instance holds a job first."""
 
+import contextlib
 import math
 import threading
 from typing import Any
@@ -93,6 +94,30 @@
             jobs._max_held_bytes = 0 if state == "full" else math.inf
 
 
+@when("the preferred instance is sent the step with {seconds:g} s to live")
+def send_preferred(context: Any, seconds: float) -> None:
+    memory = context.memory
+    jobs = memory.jobs_by_name[preferred(context)]
+
+    def submit() -> None:
+        with contextlib.suppress(HibiscusError):
+            jobs.submit(
+                job_contents("step", 1, 2, 5),
+                memory.route,
+                monotonic() + seconds,
+            )
+
+    thread = threading.Thread(target=submit)
+    thread.start()
+    context.add_cleanup(thread.join)
+    assert wait_until(lambda: memory.store.delayed_commits, RESULTS_S)
+
+
+@when("the store is down from then on")
+def take_down(context: Any) -> None:
+    context.memory.store.down = True
+
+
 @when("another instance is sent a step")
 def send_other(context: Any) -> None:
     context.refusal = None
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -8,6 +8,7 @@
 import math
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
@@ -157,6 +158,7 @@
         )
         self._stopping = False
         self._evacuate_at = float("-inf")
+        self._attempts_by_job: Counter[str] = Counter()
         # Jobs whose takeover is in progress.
         self._adopting: set[str] = set()
         # Jobs that the store may assign to this instance but that don't run
@@ -197,9 +199,32 @@
         if local is not None:
             stored = local.stored
         else:
-            stored = self._place(contents, route, deadline)
+            with self._attempt(contents.job):
+                stored = self._place(contents, route, deadline)
         _check_access(contents.job, stored.head, requester)
 
+    @contextlib.contextmanager
+    def _attempt(self, job: str) -> Iterator[None]:
+        """Counts an attempt to accept a job while a block runs.
+
+        An attempt that is refused says nothing of earlier ones of which the
+        store may still take a write.
+        """
+        with self._lock:
+            is_repeated = (
+                job in self._attempts_by_job
+                or job in self._unfinished_takeovers
+            )
+            self._attempts_by_job[job] += 1
+        try:
+            with _refused_truthfully(may_be_accepted=is_repeated):
+                yield
+        finally:
+            with self._lock:
+                self._attempts_by_job[job] -= 1
+                if not self._attempts_by_job[job]:
+                    del self._attempts_by_job[job]
+
     def _place(
         self, contents: JobContents, route: ForwardRoute, deadline: float
     ) -> StoredHead:
@@ -305,6 +330,11 @@
         local = self._job_by_id.get(contents.job)
         if local is not None:
             return msgspec.msgpack.encode(local.stored)
+        with self._attempt(contents.job):
+            stored = self._accept_for_peer(contents)
+        return msgspec.msgpack.encode(stored)
+
+    def _accept_for_peer(self, contents: JobContents) -> StoredHead:
         may_hold = holders.may_hold_more(len(self.open_jobs()))
         if self._reach.is_doubtful or not may_hold:
             raise _not_holder(contents.job)
@@ -314,13 +344,9 @@
         # Longer than the caller waits: a job whose creation took effect must be
         # found and run here, since its head names this instance.
         deadline = self._clock.monotonic() + ACCEPT_TIMEOUT_S
-        stored = self._accept(
-            contents,
-            route_and_service[0],
-            deadline,
-            retry_refused=False,
+        return self._accept(
+            contents, route_and_service[0], deadline, retry_refused=False
         )
-        return msgspec.msgpack.encode(stored)
 
     def _accept(
         self,
