Say of unconfirmed writes that they may take effect

Trainers of hibiscuspind were told "ran": "no" of prompts, versions and roll-outs whose write the store had not confirmed, and which took effect; so were trainers whose end of a step a holder finished later. The error that became the answer dropped what the store's error knows, and a failed read after such a write even replaced it.

The answer now takes "ran" from the store's error. A roll-out whose version is published and an end that may be finished later are "unknown" in any case.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -68,6 +68,21 @@
   Scenario: no order of faults loses or doubles a slot
     Then 60 random histories of two holders, lost answers, outages and repeated pulls deliver each slot once
 
+  # Guards against a trainer that is told "not run" of a call that takes effect.
+  Scenario Outline: a trainer that <call> hears whether that may take effect
+    Given a store that <answers> at the next writes
+    When a trainer <call>
+    Then it is told "store_unavailable", and whether it ran is "<ran>"
+
+    Examples:
+      | call                | answers                | ran     |
+      | submits prompts     | takes late             | unknown |
+      | submits prompts     | takes late and is down | unknown |
+      | submits prompts     | refuses                | no      |
+      | publishes a version | takes late             | unknown |
+      | publishes a version | refuses                | no      |
+      | rolls weights out   | refuses                | unknown |
+
   Scenario: no order of publications hands over a stale sample
     Then 60 random histories of publications and pulls hand over no sample over the bound
 
--- a/features/steps/job_ends_steps.py
+++ b/features/steps/job_ends_steps.py
@@ -15,7 +15,7 @@
     wait_until,
 )
 from hibiscuspin.clock import monotonic
-from hibiscuspin.errors import HibiscusError
+from hibiscuspin.errors import ExecutionStatus, HibiscusError
 from hibiscuspin.tasks.job_store import FencedError, JobStore, StoredHead
 
 FENCED_WITHIN_S = 3.0
@@ -63,7 +63,9 @@
     memory.store.down = True
     try:
         memory.jobs_by_name["b"].end(JOB)
-    except HibiscusError:
+    except HibiscusError as error:
+        # a finishes the end once the store is back.
+        assert error.ran is ExecutionStatus.UNKNOWN, error.ran
         return
     raise AssertionError("an end was acknowledged without the store")
 
--- a/features/steps/rollouts_delivery_steps.py
+++ b/features/steps/rollouts_delivery_steps.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import hypothesis.strategies as st
 import msgspec
-from behave import given, then
+from behave import given, then, when
 from hypothesis import settings
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -17,6 +18,7 @@
 
 from features.steps.rollouts_faulty_store import FaultyStore
 from hibiscuspin.clock import SystemClock
+from hibiscuspin.edges import StoreError
 from hibiscuspin.errors import ErrorKind, HibiscusError
 from hibiscuspin.tasks.duties import HeldDuty
 from hibiscuspin.tasks.samples import FinishedSample, SampleBody, StepBody
@@ -24,6 +26,7 @@
 from hibiscuspin.tasks.steps import Steps
 from hibiscuspin.tasks.trainer_state import TrainerState
 from hibiscuspin.tasks.versions import Versions
+from hibiscuspin.tasks.weights import WeightRollouts
 
 TRAINER = "appraiser"
 DECLARED = {
@@ -329,3 +332,45 @@
         stateful_step_count=40,
         deadline=None,
     )
+
+
+STORE_FAULTS = {
+    "takes late": "late",
+    "takes late and is down": "late and refused",
+    "refuses": "refused",
+}
+
+
+@given("a store that {answers} at the next writes")
+def set_store_fault(context: Any, answers: str) -> None:
+    context.store = FaultyStore()
+    context.holder = Holder(context.store, 1)
+    context.store.fault = STORE_FAULTS[answers]
+
+
+@when("a trainer {call}")
+def call_as_trainer(context: Any, call: str) -> None:
+    holder = context.holder
+    other: Any = mock.Mock()
+    store: Any = context.store
+    weights = WeightRollouts("a", other, store, SystemClock(), other, other)
+    calls: dict[str, Callable[[], object]] = {
+        "submits prompts": lambda: holder.submit(range(1), True),
+        "publishes a version": lambda: holder.versions.publish(TRAINER, 1, ""),
+        "rolls weights out": lambda: weights.roll_out("tasador-lm", 1, ""),
+    }
+    if call == "rolls weights out":
+        # Several attempts, all refused.
+        store.get = mock.Mock(side_effect=StoreError("refused", False))
+    context.refusal = None
+    try:
+        calls[call]()
+    except HibiscusError as error:
+        context.refusal = error
+
+
+@then('it is told "{code}", and whether it ran is "{ran}"')
+def check_told(context: Any, code: str, ran: str) -> None:
+    assert context.refusal is not None
+    assert str(context.refusal.kind) == code, context.refusal
+    assert str(context.refusal.ran) == ran, context.refusal.ran
--- a/features/steps/rollouts_faulty_store.py
+++ b/features/steps/rollouts_faulty_store.py
@@ -10,10 +10,11 @@
 class FaultyStore:
     """Keys with revisions; each `fault` applies once.
 
-    With the fault `down`, the next call fails without effect. The other
-    faults apply to the next `compare_and_swap`: with `lost`, it fails after
-    its effect; with `late`, it fails and takes effect only at
-    `apply_delayed`, if the revision still matches then.
+    With the fault `down`, the next call fails without effect, and with
+    `refused` it is refused. The other faults apply to the next
+    `compare_and_swap`: with `lost`, it fails after its effect; with `late`, it
+    fails and takes effect only at `apply_delayed`, if the revision still
+    matches then; with `late and refused`, the call after it is refused too.
     """
 
     def __init__(self) -> None:
@@ -44,7 +45,10 @@
         fault, self.fault = self.fault, ""
         if fault == "down":
             raise StoreError("store is down", None)
-        if fault == "late":
+        if fault == "refused":
+            raise StoreError("write refused", False)
+        if fault.startswith("late"):
+            self.fault = fault.removeprefix("late").removeprefix(" and ")
             self._delayed_writes.append((key, value, revision))
             raise StoreError("write delayed", None)
         new_revision = self._write(key, value, revision)
@@ -76,6 +80,7 @@
         return self._revision
 
     def _raise_if_down(self) -> None:
-        if self.fault == "down":
+        if self.fault in ("down", "refused"):
+            applied = None if self.fault == "down" else False
             self.fault = ""
-            raise StoreError("store is down", None)
+            raise StoreError("store is down", applied)
--- a/hibiscuspin/edges/__init__.py
+++ b/hibiscuspin/edges/__init__.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple, Protocol, TypeVar
 
+from hibiscuspin.errors import ExecutionStatus
+
 __all__ = [
     "TokenChunk",
     "Engine",
@@ -42,6 +44,13 @@
         super().__init__(message)
         self.applied = applied
 
+    @property
+    def ran(self) -> ExecutionStatus:
+        """Whether what was asked of the store has been done, or may be."""
+        if self.applied is False:
+            return ExecutionStatus.NO
+        return ExecutionStatus.UNKNOWN
+
 
 class StoreEntry(NamedTuple):
     """One key and its value in the platform's store.
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -590,7 +590,8 @@
         try:
             self._mark_ended(job, local, asked)
         except StoreError as error:
-            raise _store_unavailable(error) from error
+            # A holder that heard of it finishes the end later.
+            raise _store_unavailable(error, ExecutionStatus.UNKNOWN) from error
 
     def finish_ends(self) -> None:
         """Finishes ends of jobs of this instance that the store didn't confirm.
@@ -1131,7 +1132,7 @@
         try:
             self._mark_ended(job, local, None)
         except StoreError as error:
-            raise _store_unavailable(error) from error
+            raise _store_unavailable(error, ExecutionStatus.UNKNOWN) from error
         return b""
 
     def _serve_holds(self, body: bytes) -> bytes:
@@ -1199,9 +1200,11 @@
     )
 
 
-def _store_unavailable(error: StoreError) -> HibiscusError:
+def _store_unavailable(
+    error: StoreError, ran: ExecutionStatus = ExecutionStatus.NO
+) -> HibiscusError:
     return HibiscusError(
-        ErrorKind.STORE_UNAVAILABLE, f"The store is unavailable: {error}"
+        ErrorKind.STORE_UNAVAILABLE, f"The store is unavailable: {error}", ran
     )
 
 
--- a/hibiscuspin/tasks/step_store.py
+++ b/hibiscuspin/tasks/step_store.py
@@ -118,7 +118,7 @@
         except StoreError as error:
             if error.applied is False:
                 raise
-        entry = self._store.get(key, self._call_deadline())
+        entry = self._read_unconfirmed(key)
         if entry and _decode_record(entry).stored["token"] == stored["token"]:
             return entry.revision
         if (entry.revision if entry else 0) == revision:
@@ -175,9 +175,20 @@
         except StoreError as error:
             if error.applied is False:
                 raise
-        if self._store.get(key, self._call_deadline()) is None:
+        if self._read_unconfirmed(key) is None:
             raise StoreError("the chunk may still be written", None)
 
+    def _read_unconfirmed(self, key: str) -> StoreEntry | None:
+        """Reads a key whose write the store has not confirmed.
+
+        Raises:
+            StoreError: The store did not respond; the write may take effect.
+        """
+        try:
+            return self._store.get(key, self._call_deadline())
+        except StoreError as error:
+            raise StoreError(str(error), None) from error
+
     def _call_deadline(self) -> float:
         return self._clock.monotonic() + STORE_TIMEOUT_S
 
--- a/hibiscuspin/tasks/steps.py
+++ b/hibiscuspin/tasks/steps.py
@@ -476,7 +476,9 @@
         yield
     except StoreError as error:
         raise HibiscusError(
-            ErrorKind.STORE_UNAVAILABLE, "The store did not confirm the call."
+            ErrorKind.STORE_UNAVAILABLE,
+            "The store did not confirm the call.",
+            error.ran,
         ) from error
 
 
--- a/hibiscuspin/tasks/versions.py
+++ b/hibiscuspin/tasks/versions.py
@@ -48,7 +48,8 @@
             older.
 
         Raises:
-            HibiscusError: The store did not commit the version.
+            HibiscusError: The store did not confirm the version; `ran` states
+                whether it may have committed it.
         """
         proposed: PublishedVersion = {
             "version": version,
@@ -59,7 +60,9 @@
             return self._advance(trainer, proposed)
         except StoreError as error:
             raise HibiscusError(
-                ErrorKind.STORE_UNAVAILABLE, "The version was not committed."
+                ErrorKind.STORE_UNAVAILABLE,
+                "The store did not confirm the version.",
+                error.ran,
             ) from error
 
     def current(self, trainer: str) -> int:
--- a/hibiscuspin/tasks/weights.py
+++ b/hibiscuspin/tasks/weights.py
@@ -27,7 +27,7 @@
     StageOrder,
 )
 from hibiscuspin.edges import PlatformStore, StoreError, TargetError
-from hibiscuspin.errors import ErrorKind, HibiscusError
+from hibiscuspin.errors import ErrorKind, ExecutionStatus, HibiscusError
 from hibiscuspin.logs import get_logger
 from hibiscuspin.peers.hub import PeerHub
 from hibiscuspin.tasks.targets import Targets
@@ -154,8 +154,12 @@
             if written is not None:
                 self._adopt(written)
                 return written
+        # The trainer's version is published already, and its roll-out may be
+        # recorded by a write that was not confirmed.
         raise HibiscusError(
-            ErrorKind.STORE_UNAVAILABLE, "The version was not recorded."
+            ErrorKind.STORE_UNAVAILABLE,
+            "The store did not confirm the version's roll-out.",
+            ExecutionStatus.UNKNOWN,
         )
 
     def state(self, model: str) -> RolloutState | None:
