Drop ended jobs when a new one needs their memory

An instance that is not the coordinator kept the jobs that had ended until it restarted, and counted them against what it may hold. After some large steps it refused all others with 429.

Ended and released jobs now make room for a new one, the oldest first, if that is enough. Their results are in the store, from which they are read then.

--- a/features/holders.feature
+++ b/features/holders.feature
@@ -28,3 +28,16 @@
     And the holders made no more than 30 calls
     When the coordinator clears an engine of samples
     Then only the 3 holders were told
+
+  Scenario Outline: ended jobs make room for a further one, the oldest first
+    Given ended jobs of <sizes> bytes, each submitted after the one before
+    When a further job lacks <excess> bytes
+    Then the ended jobs "<dropped>" are dropped
+
+    Examples:
+      | sizes    | excess | dropped |
+      | 10 20 30 | 0      | none    |
+      | 10 20 30 | 1      | 0       |
+      | 10 20 30 | 11     | 0 1     |
+      | 10 20 30 | 60     | 0 1 2   |
+      | 10 20 30 | 61     | none    |
--- a/features/job_ends.feature
+++ b/features/job_ends.feature
@@ -43,3 +43,11 @@
     And the store is back and a finishes its ends
     Then the store says that the job has ended
     And no engine is at work within 1.0 s
+
+  # Guards against an instance that refuses all further jobs, since it keeps the
+  # items of those that have ended.
+  Scenario: ended jobs leave room for further ones
+    Given an instance whose memory is taken by one job
+    When a job ends there before the next one comes, 4 times
+    Then it holds the last job
+    And the results of the first job can be read there
--- a/features/steps/holders_steps.py
+++ b/features/steps/holders_steps.py
@@ -165,3 +165,22 @@
 def check_told(context: Any) -> None:
     told = {a for m, a in context.peers.calls if m == CLEAR_METHOD}
     assert told == set(HOLDERS), told
+
+
+@given("ended jobs of {sizes} bytes, each submitted after the one before")
+def set_ended(context: Any, sizes: str) -> None:
+    context.ended = [
+        holders.EndedJob(str(number), float(number), int(size))
+        for number, size in enumerate(sizes.split())
+    ]
+
+
+@when("a further job lacks {excess:d} bytes")
+def decide_dropped(context: Any, excess: int) -> None:
+    newest_first = context.ended[::-1]
+    context.dropped = holders.jobs_to_drop(newest_first, excess)
+
+
+@then('the ended jobs "{dropped}" are dropped')
+def check_dropped(context: Any, dropped: str) -> None:
+    assert context.dropped == dropped.replace("none", "").split()
--- a/features/steps/job_ends_steps.py
+++ b/features/steps/job_ends_steps.py
@@ -5,9 +5,9 @@
 from typing import Any
 from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 
-from features.platform_fakes import MemoryFleet
+from features.platform_fakes import MemoryFleet, job_contents
 from features.steps.platform_jobs_steps import (
     JOB,
     accept,
@@ -19,6 +19,7 @@
 from hibiscuspin.tasks.job_store import FencedError, JobStore, StoredHead
 
 FENCED_WITHIN_S = 3.0
+LISTED_WITHIN_S = 5.0
 # Store calls of one end, before each of which something else may happen.
 STORE_CALLS = 4
 
@@ -175,3 +176,40 @@
             assert head["ended"], (name, event.__name__, call, head)
         memory.store.apply_delayed()
     assert acknowledged
+
+
+@given("an instance whose memory is taken by one job")
+def limit_memory(context: Any) -> None:
+    size = job_contents("first", 2, 4, 5).size_bytes
+    context.memory.jobs_by_name["a"]._max_held_bytes = size * 3 / 2
+
+
+@when("a job ends there before the next one comes, {count:d} times")
+def end_in_turn(context: Any, count: int) -> None:
+    memory = context.memory
+    jobs = memory.jobs_by_name["a"]
+    for number in range(count + 1):
+        context.last_job = f"job-{number}"
+        contents = job_contents(context.last_job, 2, 4, 5)
+        jobs.submit(contents, memory.route, monotonic() + LISTED_WITHIN_S)
+        if number == count:
+            break
+
+        def has_results(job: str = context.last_job) -> bool:
+            return len(jobs.results(job, 0, 0.0).results) == 8
+
+        assert wait_until(has_results, LISTED_WITHIN_S)
+        jobs.end(context.last_job)
+
+
+@then("it holds the last job")
+def check_holds_last(context: Any) -> None:
+    jobs = context.memory.jobs_by_name["a"]
+    assert not jobs._job_by_id[context.last_job].stopped
+
+
+@then("the results of the first job can be read there")
+def check_first_results(context: Any) -> None:
+    found = context.memory.jobs_by_name["a"].results("job-0", 0, 0.0)
+    assert found.total == 8
+    assert all(row.done and row.text for row in found.results), found
--- a/hibiscuspin/decisions/holders.py
+++ b/hibiscuspin/decisions/holders.py
@@ -11,17 +11,24 @@
 about, and so does telling all of them of each weight load. The coordinator
 hears of all holders and names them to each; without it, a holder asks all
 instances now and then.
+
+Load pattern: a trainer ends a large step every few seconds. Its holder still
+has the step, and after some of them it has no memory for the next one, though
+the results of ended steps can be read from the store as well.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
+from typing import NamedTuple
 
 from hibiscuspin import rendezvous
 from hibiscuspin.decisions.recovery import LiveInstance
 
 __all__ = [
     "HOLDER_TTL_S",
+    "EndedJob",
     "active_holders",
     "instances_to_ask",
+    "jobs_to_drop",
     "may_hold_more",
     "preferred_holder",
 ]
@@ -34,6 +41,20 @@
 HOLDER_TTL_S = 1.5
 
 
+class EndedJob(NamedTuple):
+    """A job that no longer runs on the instance that still has it.
+
+    Attributes:
+        job: Its id.
+        submitted_at: Wall-clock time of its submission.
+        size_bytes: The memory that it takes.
+    """
+
+    job: str
+    submitted_at: float
+    size_bytes: int
+
+
 def active_holders(
     reported_at_by_name: Mapping[str, float], now: float
 ) -> list[str]:
@@ -97,3 +118,24 @@
     if ask_all and not coordinator_answers:
         return list(others)
     return [name for name in others if name in holders or name == coordinator]
+
+
+def jobs_to_drop(ended: Sequence[EndedJob], excess_bytes: float) -> list[str]:
+    """Returns the ended jobs to drop so that a further job can be held.
+
+    Args:
+        ended: The ended jobs.
+        excess_bytes: How much memory the further job lacks.
+
+    Returns:
+        The oldest ones that make enough room; none if all together don't.
+    """
+    if sum(row.size_bytes for row in ended) < excess_bytes:
+        return []
+    dropped = []
+    for row in sorted(ended, key=lambda row: row.submitted_at):
+        if excess_bytes <= 0:
+            break
+        excess_bytes -= row.size_bytes
+        dropped.append(row.job)
+    return dropped
--- a/hibiscuspin/tasks/jobs.py
+++ b/hibiscuspin/tasks/jobs.py
@@ -133,8 +133,8 @@
                 store succeeded.
             formats: Which instances read jobs of organisations; None for all.
             max_held_bytes: What the contents of jobs that are held here may
-                take. Jobs that are handed over or recovered are held beyond
-                it.
+                take; ended jobs make room for new ones. Jobs that are handed
+                over or recovered are held beyond it.
         """
         self._max_held_bytes = max_held_bytes
         self._held_bytes = 0
@@ -367,7 +367,7 @@
         """
         if self._stopping:
             raise HibiscusError(ErrorKind.STOPPING, "The instance is stopping.")
-        if self._held_bytes + contents.size_bytes > self._max_held_bytes:
+        if not self._make_room(contents.size_bytes):
             return self._find_accepted(contents)
         member = self._instances.member
         head: JobHead = {
@@ -407,6 +407,32 @@
         )
         return stored
 
+    def _make_room(self, size_bytes: int) -> bool:
+        """Returns whether a job may be held; drops ended ones if it must.
+
+        The results of ended jobs are read from the store then.
+        """
+        excess_bytes = self._held_bytes + size_bytes - self._max_held_bytes
+        if excess_bytes <= 0:
+            return True
+        ended_by_id = {
+            job: local
+            for job, local in list(self._job_by_id.items())
+            if local.released or local.stored.head["ended"]
+        }
+        ended = [
+            holders.EndedJob(
+                job,
+                local.stored.head["submitted_at"],
+                local.contents.size_bytes,
+            )
+            for job, local in ended_by_id.items()
+        ]
+        for job in holders.jobs_to_drop(ended, excess_bytes):
+            self._drop(job, ended_by_id[job])
+            _log.info("Ended job dropped for a new one.", extra={"job": job})
+        return self._held_bytes + size_bytes <= self._max_held_bytes
+
     def _find_accepted(self, contents: JobContents) -> StoredHead:
         """Returns the head of a job that was accepted before.
 
