--- a/features/steps/upgrade_organisations_steps.py
+++ b/features/steps/upgrade_organisations_steps.py
@@ -22,6 +22,8 @@
 IN_FORCE_S = 4.0
 # The time within which an instance sees that another one has registered.
 VIEW_TIMEOUT_S = 3.0
+# A job with so many outlasts the start of an instance beside load.
+LONG_JOB_EVENTS = 2 * EVENTS
 
 _numbers = itertools.count()
 
@@ -62,7 +64,9 @@
 
 
 def submit(context: Any, name: str, job: str) -> int:
-    return fleet(context).submit_job(name, job, GROUPS, GROUP_SIZE, EVENTS)
+    return fleet(context).submit_job(
+        name, job, GROUPS, GROUP_SIZE, LONG_JOB_EVENTS
+    )
 
 
 @then('a job of "{key}" is refused by {name} as not run, with a time to retry')
@@ -96,7 +100,7 @@
 
 @when('a job "{job}" of "{key}" begins at {name}')
 def begin(context: Any, job: str, key: str, name: str) -> None:
-    context.job_id, context.job_events = job, EVENTS
+    context.job_id, context.job_events = job, LONG_JOB_EVENTS
     context.job_size = GROUPS * GROUP_SIZE
     context.rows_before = []
     wait_for(
